--- /dev/null
+++ b/components/backends/src/lib.rs
@@ -0,0 +1,13 @@
+//! Clients of the platform's workers, runners and list of VMs, over HTTP.
+
+mod http;
+mod runner;
+mod vendor;
+mod vms;
+mod worker;
+
+pub use http::new_agent;
+pub use runner::{RunResult, RunnerClient};
+pub use vendor::{VendorAdapter, adapter_for};
+pub use vms::fetch_vms;
+pub use worker::WorkerClient;
--- /dev/null
+++ b/components/backends/src/vendor.rs
@@ -0,0 +1,118 @@
+//! The forms in which vendors' runners report their state.
+
+use config::VendorForm;
+use errors::{Error, Result};
+use libs::serde_json;
+use libs::ureq::http::HeaderMap;
+use serde::Deserialize;
+use types::{BackendState, Millis, RequestId, RunnerReport};
+
+/// Turns one vendor's report into the common form.
+pub trait VendorAdapter: Send + Sync {
+    /// Reads a report. `status` and `headers` are those of the HTTP answer that carried it.
+    fn parse(&self, status: u16, headers: &HeaderMap, body: &str) -> Result<RunnerReport>;
+}
+
+/// The adapter for a form.
+pub fn adapter_for(form: VendorForm) -> &'static dyn VendorAdapter {
+    match form {
+        VendorForm::Json => &JsonForm,
+        VendorForm::Text => &TextForm,
+        VendorForm::Headers => &HeadersForm,
+    }
+}
+
+fn malformed(what: &str) -> Error {
+    Error::Codec(format!("the runner's report lacks a valid {what}"))
+}
+
+fn parse_running(list: &str) -> Result<Vec<RequestId>> {
+    list.split(',').map(str::trim).filter(|id| !id.is_empty()).map(str::parse).collect()
+}
+
+/// A JSON object such as `{"status":"UP","boot":7,"clock_ms":12,"slots":8,"running":[]}`.
+struct JsonForm;
+
+#[derive(Deserialize)]
+struct JsonReport {
+    status: String,
+    boot: u64,
+    clock_ms: Millis,
+    slots: u32,
+    running: Vec<RequestId>,
+}
+
+impl VendorAdapter for JsonForm {
+    fn parse(&self, _status: u16, _headers: &HeaderMap, body: &str) -> Result<RunnerReport> {
+        let report: JsonReport =
+            serde_json::from_str(body).map_err(|error| malformed(&error.to_string()))?;
+        let state = match report.status.as_str() {
+            "UP" => BackendState::Up,
+            "DRAINING" => BackendState::Leaving,
+            "DOWN" => BackendState::Down,
+            _ => return Err(malformed("status")),
+        };
+        Ok(RunnerReport {
+            state,
+            incarnation: report.boot,
+            clock_ms: report.clock_ms,
+            slots: report.slots,
+            running: report.running,
+        })
+    }
+}
+
+/// Lines of `key=value`, among them `health`, `boot`, `clock`, `slots` and `jobs`.
+struct TextForm;
+
+impl VendorAdapter for TextForm {
+    fn parse(&self, _status: u16, _headers: &HeaderMap, body: &str) -> Result<RunnerReport> {
+        let field = |name: &str| {
+            let pairs = body.lines().filter_map(|line| line.split_once('='));
+            pairs
+                .map(|(key, value)| (key.trim(), value.trim()))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value)
+        };
+        let number = |name: &str| {
+            field(name).and_then(|text| text.parse().ok()).ok_or_else(|| malformed(name))
+        };
+        let state = match field("health") {
+            Some("ok") => BackendState::Up,
+            Some("leaving") => BackendState::Leaving,
+            Some("stopped") => BackendState::Down,
+            _ => return Err(malformed("health")),
+        };
+        Ok(RunnerReport {
+            state,
+            incarnation: number("boot")?,
+            clock_ms: Millis(number("clock")?),
+            slots: u32::try_from(number("slots")?).map_err(|_| malformed("slots"))?,
+            running: parse_running(field("jobs").unwrap_or_default())?,
+        })
+    }
+}
+
+/// An HTTP status of 200 or 503 and headers `X-Boot`, `X-Clock-Ms`, `X-Slots`, `X-Drain` and `X-Running`.
+struct HeadersForm;
+
+impl VendorAdapter for HeadersForm {
+    fn parse(&self, status: u16, headers: &HeaderMap, _body: &str) -> Result<RunnerReport> {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let number = |name: &str| -> Result<u64> {
+            text(name).and_then(|value| value.parse().ok()).ok_or_else(|| malformed(name))
+        };
+        let state = match (status, text("x-drain")) {
+            (200, Some("true")) => BackendState::Leaving,
+            (200, _) => BackendState::Up,
+            _ => BackendState::Down,
+        };
+        Ok(RunnerReport {
+            state,
+            incarnation: number("x-boot")?,
+            clock_ms: Millis(number("x-clock-ms")?),
+            slots: u32::try_from(number("x-slots")?).map_err(|_| malformed("x-slots"))?,
+            running: parse_running(text("x-running").unwrap_or_default())?,
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/admin.rs
@@ -0,0 +1,119 @@
+//! The administration API, which only reads: see docs/API.md.
+
+use std::collections::BTreeMap;
+
+use libs::rouille::Response;
+use libs::serde_json::{Value, json};
+use types::{PoolStatus, Resources, TeamId};
+
+use crate::api::job_json;
+use crate::view::View;
+use crate::{Shared, jobs};
+
+/// Answers a request below `/v1/admin`. None if there is no such resource.
+pub(crate) fn handle(shared: &Shared, view: &View, parts: &[&str]) -> Option<Response> {
+    match parts {
+        ["status"] => Some(status(shared, view)),
+        ["teams"] => Some(teams(shared, view)),
+        ["pools"] => Some(Response::json(&jobs::statuses(shared))),
+        ["pools", name] => {
+            let pools = jobs::statuses(shared);
+            pools.iter().find(|pool| pool.pool.as_str() == *name).map(Response::json)
+        }
+        ["jobs", id] => {
+            let found = jobs::find(shared, &id.parse().ok()?)?;
+            found.first().map(|job| Response::json(&job_json(job)))
+        }
+        ["metrics"] => Some(Response::json(&shared.metrics.snapshot())),
+        _ => None,
+    }
+}
+
+fn status(shared: &Shared, view: &View) -> Response {
+    let pools = jobs::statuses(shared);
+    let processes: Vec<Value> = view
+        .processes
+        .iter()
+        .map(|process| {
+            json!({
+                "name": process.node.name,
+                "role": process.role,
+                "address": process.address,
+                "alive": process.alive,
+                "rules_version": process.rules_version,
+            })
+        })
+        .collect();
+    let pool_rows: Vec<Value> =
+        view.rules.pools().map(|rule| pool_row(rule.name.as_str(), &pools)).collect();
+    Response::json(&json!({
+        "rules_version": view.rules.version,
+        "rules_confirmed": view.trusted,
+        "processes": processes,
+        "pools": pool_rows,
+    }))
+}
+
+/// One line about a pool, also if no owner answers.
+fn pool_row(name: &str, pools: &[PoolStatus]) -> Value {
+    let Some(pool) = pools.iter().find(|pool| pool.pool.as_str() == name) else {
+        return json!({ "pool": name, "owner": null });
+    };
+    let up = |states: &mut dyn Iterator<Item = &str>| states.filter(|state| *state == "up").count();
+    let capacity =
+        pool.workers.iter().fold(Resources::ZERO, |sum, worker| sum.plus(&worker.capacity));
+    let granted =
+        pool.workers.iter().fold(Resources::ZERO, |sum, worker| sum.plus(&worker.granted));
+    json!({
+        "pool": pool.pool,
+        "owner": pool.owner.name,
+        "epoch": pool.epoch,
+        "workers": pool.workers.len(),
+        "workers_up": up(&mut pool.workers.iter().map(|worker| worker.state.as_str())),
+        "runners": pool.runners.len(),
+        "runners_up": up(&mut pool.runners.iter().map(|runner| runner.state.as_str())),
+        "capacity": capacity,
+        "granted": granted,
+        "live_jobs": pool.live_jobs,
+        "waiting_requests": pool.waiting_requests,
+    })
+}
+
+#[derive(Default)]
+struct TeamSum {
+    running: Resources,
+    waiting_tasks: u32,
+}
+
+fn teams(shared: &Shared, view: &View) -> Response {
+    let pools = jobs::statuses(shared);
+    let total = pools
+        .iter()
+        .flat_map(|pool| &pool.workers)
+        .fold(Resources::ZERO, |sum, worker| sum.plus(&worker.capacity));
+    let mut sums: BTreeMap<&TeamId, TeamSum> = BTreeMap::new();
+    for team in pools.iter().flat_map(|pool| &pool.teams) {
+        let sum = sums.entry(&team.team).or_default();
+        sum.running = sum.running.plus(&team.running);
+        sum.waiting_tasks += team.waiting_tasks;
+    }
+    let shares: u32 = view.rules.teams().map(|team| team.share).sum();
+    let rows: Vec<Value> = view
+        .rules
+        .teams()
+        .map(|team| {
+            let sum = sums.get(&team.name);
+            let running = sum.map(|sum| sum.running).unwrap_or_default();
+            let limit = view.rules.limit(&team.name);
+            json!({
+                "team": team.name,
+                "share_percent": 100.0 * f64::from(team.share) / f64::from(shares.max(1)),
+                "used_percent": 100.0 * running.dominant_share(&total),
+                "running": running,
+                "limit_cores": limit.map(|limit| limit.resources.cpu_milli / 1000).filter(|cores| *cores < u64::MAX / 1000),
+                "waiting_tasks": sum.map_or(0, |sum| sum.waiting_tasks),
+            })
+        })
+        .collect();
+    Response::json(&rows)
+}
--- /dev/null
+++ b/components/entry/src/api.rs
@@ -0,0 +1,416 @@
+//! Callers' interface: see docs/API.md.
+
+use std::io::Read;
+
+use config::{QueueRule, WorkKind};
+use libs::compact_str::CompactString;
+use libs::rand::{self, Rng};
+use libs::rouille::{Request, Response};
+use libs::serde_json::{self, json};
+use serde::Deserialize;
+use types::{
+    JobId, JobSpec, JobView, Millis, NotRunReason, Outcome, QueueId, RequestId, Resources, TeamId,
+    stable_hash,
+};
+
+use crate::auth::{self, Denied};
+use crate::jobs;
+use crate::request::{Incoming, RequestRun};
+use crate::view::View;
+use crate::{Shared, admin};
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// When a caller may come back while the configuration is unconfirmed.
+const UNCONFIRMED_RETRY_MS: Millis = Millis(2_000);
+/// Longest deadline that a caller may give.
+const MAX_DEADLINE_MS: Millis = Millis(600_000);
+
+/// A refusal that is about the form of a request.
+struct Refusal {
+    status: u16,
+    error: &'static str,
+    message: String,
+}
+
+type Checked<T> = Result<T, Refusal>;
+
+fn refuse<T>(status: u16, error: &'static str, message: impl Into<String>) -> Checked<T> {
+    Err(Refusal { status, error, message: message.into() })
+}
+
+impl Refusal {
+    fn response(&self) -> Response {
+        Response::json(
+            &json!({ "outcome": "not_run", "reason": self.error, "message": self.message }),
+        )
+        .with_status_code(self.status)
+    }
+}
+
+/// Answers one HTTP request.
+pub(crate) fn handle(shared: &Shared, request: &Request) -> Response {
+    let url = request.url();
+    let parts: Vec<&str> = url.trim_matches('/').split('/').collect();
+    let view = shared.view.get();
+    let result = match (request.method(), parts.as_slice()) {
+        ("GET", ["v1", "health"]) => Ok(health(&view)),
+        ("POST", ["v1", "queues", queue, "requests"]) => {
+            post_request(shared, &view, request, queue)
+        }
+        ("POST", ["v1", "queues", queue, "jobs"]) => post_job(shared, &view, request, queue),
+        ("GET", ["v1", "jobs"]) => list_jobs(shared, &view, request),
+        ("GET", ["v1", "jobs", id]) => get_job(shared, &view, request, id),
+        ("DELETE", ["v1", "jobs", id]) => delete_job(shared, &view, request, id),
+        ("GET", ["v1", "admin", rest @ ..]) => get_admin(shared, &view, request, rest),
+        (_, ["v1", ..]) => {
+            refuse(404, "no_such_resource", "there is no such resource; see docs/API.md")
+        }
+        _ => refuse(404, "no_such_resource", "all resources are below /v1; see docs/API.md"),
+    };
+    let response = result.unwrap_or_else(|refusal| refusal.response());
+    shared.metrics.count(status_counter(response.status_code));
+    response
+}
+
+fn status_counter(status: u16) -> &'static str {
+    match status {
+        200..=299 => "http.2xx",
+        400..=499 => "http.4xx",
+        _ => "http.5xx",
+    }
+}
+
+fn health(view: &View) -> Response {
+    let ready = view.is_ready();
+    let body = json!({ "ready": ready, "rules_version": view.rules.version, "rules_confirmed": view.trusted });
+    Response::json(&body).with_status_code(if ready { 200 } else { 503 })
+}
+
+fn denied(denied: Denied) -> Refusal {
+    match denied {
+        Denied::InvalidKey => Refusal {
+            status: 401,
+            error: "invalid_key",
+            message: "send a valid key as 'Authorization: Bearer NAME.SECRET'".to_owned(),
+        },
+        Denied::Unconfirmed => Refusal {
+            status: 503,
+            error: NotRunReason::ConfigUnconfirmed.as_str(),
+            message: "this entry cannot confirm its configuration; try again in some seconds"
+                .to_owned(),
+        },
+    }
+}
+
+fn find_queue<'a>(view: &'a View, name: &str) -> Checked<&'a QueueRule> {
+    let found = name.parse::<QueueId>().ok().and_then(|queue| view.rules.queue(&queue));
+    match found {
+        Some(queue) => Ok(queue),
+        None => refuse(404, NotRunReason::UnknownQueue.as_str(), "there is no such queue"),
+    }
+}
+
+fn read_body(shared: &Shared, request: &Request) -> Checked<Vec<u8>> {
+    let limit = shared.settings.http.max_body_bytes;
+    let declared = request.header("Content-Length").and_then(|text| text.parse::<u64>().ok());
+    let too_large = || refuse(413, "body_too_large", format!("a body has at most {limit} bytes"));
+    if declared.is_some_and(|bytes| bytes > limit) {
+        return too_large();
+    }
+    let Some(data) = request.data() else { return refuse(400, "no_body", "the body is missing") };
+    let mut body = Vec::new();
+    if data.take(limit + 1).read_to_end(&mut body).is_err() {
+        return refuse(400, "body_truncated", "the body could not be read to its end");
+    }
+    if body.len() as u64 > limit {
+        return too_large();
+    }
+    if declared.is_some_and(|bytes| bytes != body.len() as u64) {
+        return refuse(400, "body_truncated", "the body is shorter than its declared length");
+    }
+    Ok(body)
+}
+
+fn idempotency_key(request: &Request) -> Checked<Option<&str>> {
+    match request.header("Idempotency-Key") {
+        Some(key) if key.is_empty() || key.len() > MAX_KEY_BYTES => refuse(
+            400,
+            "bad_idempotency_key",
+            format!("an idempotency key has 1 to {MAX_KEY_BYTES} bytes"),
+        ),
+        key => Ok(key),
+    }
+}
+
+fn flag(request: &Request, name: &str) -> Checked<Option<bool>> {
+    match request.header(name) {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => refuse(400, "bad_header", format!("{name} is 'true' or 'false'")),
+    }
+}
+
+fn deadline_ms(request: &Request, queue: &QueueRule) -> Checked<Millis> {
+    let Some(text) = request.header("X-Deadline-Ms") else { return Ok(queue.deadline_ms) };
+    match text.parse::<Millis>() {
+        Ok(Millis(0)) => {
+            refuse(504, NotRunReason::DeadlinePassed.as_str(), "the deadline has passed already")
+        }
+        Ok(deadline) if deadline <= MAX_DEADLINE_MS => Ok(deadline),
+        _ => refuse(
+            400,
+            "bad_header",
+            format!("X-Deadline-Ms is a number from 1 to {}", MAX_DEADLINE_MS.0),
+        ),
+    }
+}
+
+/// An id that is the same for all submissions with the same key of the same team to the same queue.
+fn keyed_id(team: Option<&TeamId>, queue: &QueueId, key: &str) -> String {
+    let team = team.map_or("", TeamId::as_str);
+    let parts = [team.as_bytes(), queue.as_str().as_bytes(), key.as_bytes()];
+    let first = stable_hash(&[b"id-1", parts[0], parts[1], parts[2]]);
+    let second = stable_hash(&[b"id-2", parts[0], parts[1], parts[2]]);
+    format!("k{first:016x}{second:016x}")
+}
+
+fn random_id() -> String {
+    let (first, second): (u64, u64) = rand::rng().random();
+    format!("r{first:016x}{second:016x}")
+}
+
+fn post_request(shared: &Shared, view: &View, request: &Request, queue: &str) -> Checked<Response> {
+    let arrived_at = clock::now();
+    let queue = find_queue(view, queue)?;
+    if queue.kind != WorkKind::Request {
+        return refuse(
+            422,
+            NotRunReason::WrongKind.as_str(),
+            "this queue takes jobs: post to .../jobs",
+        );
+    }
+    let team = auth::team_for_queue(request, view, queue).map_err(denied)?;
+    let key = idempotency_key(request)?;
+    let idempotent = flag(request, "X-Idempotent")?.unwrap_or(queue.idempotent);
+    let deadline = deadline_ms(request, queue)?;
+    let body = read_body(shared, request)?;
+    let id = key.map_or_else(random_id, |key| keyed_id(team.as_ref(), &queue.name, key));
+    let Ok(id) = id.parse::<RequestId>() else {
+        return refuse(400, "bad_idempotency_key", "not usable");
+    };
+    let incoming = Incoming {
+        id,
+        id_is_callers: key.is_some(),
+        content_hash: stable_hash(&[&body]),
+        team,
+        queue: queue.name.clone(),
+        priority: queue.priority,
+        idempotent,
+        deadline_at: arrived_at + deadline,
+        run_limit_ms: queue.run_limit_ms,
+        body,
+    };
+    let outcome = RequestRun::new(shared, &incoming).serve();
+    note_outcome(shared, &incoming, &outcome, arrived_at);
+    Ok(outcome_response(&outcome, Some(&incoming.id)))
+}
+
+fn note_outcome(shared: &Shared, incoming: &Incoming, outcome: &Outcome, arrived_at: Millis) {
+    shared.metrics.time_ms("request.time", clock::now().since(arrived_at).0);
+    let counter = match outcome {
+        Outcome::Ran(_) => "requests.ran",
+        Outcome::NotRun { .. } => "requests.not_run",
+        Outcome::Unknown { .. } => "requests.unknown",
+        _ => "requests.other",
+    };
+    shared.metrics.count(counter);
+    if let Outcome::NotRun { reason, .. } = outcome {
+        let kind = timeline::EventKind::RequestRefused;
+        shared.timeline.record(kind, incoming.id.as_str(), reason.as_str());
+    }
+}
+
+/// A job as submitted.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody {
+    #[serde(default = "one")]
+    tasks: u32,
+    cpu_milli: u64,
+    mem_mb: u64,
+    #[serde(default)]
+    accels: u64,
+    #[serde(default)]
+    run_ms: Millis,
+    idempotent: Option<bool>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn post_job(shared: &Shared, view: &View, request: &Request, queue: &str) -> Checked<Response> {
+    let queue = find_queue(view, queue)?;
+    let Some(kind) = queue.kind.job_kind() else {
+        return refuse(
+            422,
+            NotRunReason::WrongKind.as_str(),
+            "this queue takes requests: post to .../requests",
+        );
+    };
+    let team = auth::team_of(request, view).map_err(denied)?;
+    let key = idempotency_key(request)?;
+    let body = read_body(shared, request)?;
+    let job: JobBody = match serde_json::from_slice(&body) {
+        Ok(job) => job,
+        Err(error) => return refuse(400, "bad_job", format!("the body is not a job: {error}")),
+    };
+    if job.tasks == 0 || job.cpu_milli == 0 || job.mem_mb == 0 {
+        return refuse(422, "bad_job", "tasks, cpu_milli and mem_mb are at least 1");
+    }
+    if kind != types::JobKind::Service && job.run_ms == Millis(0) {
+        return refuse(422, "bad_job", "run_ms, the expected run time of a task, is at least 1");
+    }
+    let local = key.map_or_else(random_id, |key| keyed_id(Some(&team), &queue.name, key));
+    let Some(pool) = jobs::choose_pool(shared, &queue.name, key.map(|_| local.as_str())) else {
+        let outcome = Outcome::not_run(NotRunReason::NoOwner, UNCONFIRMED_RETRY_MS);
+        return Ok(outcome_response(&outcome, None));
+    };
+    let Ok(id) = format!("{pool}:{local}").parse::<JobId>() else {
+        return refuse(400, "bad_job", "not usable");
+    };
+    let spec = JobSpec {
+        id,
+        team,
+        queue: queue.name.clone(),
+        kind,
+        priority: queue.priority,
+        spread: queue.policy,
+        tasks: job.tasks,
+        per_task: Resources { cpu_milli: job.cpu_milli, mem_mb: job.mem_mb, accels: job.accels },
+        run_ms: job.run_ms,
+        idempotent: job.idempotent.unwrap_or(queue.idempotent),
+    };
+    Ok(outcome_response(&jobs::submit(shared, spec), None))
+}
+
+fn parse_job_id(text: &str) -> Checked<JobId> {
+    match text.parse() {
+        Ok(id) => Ok(id),
+        Err(_) => refuse(404, NotRunReason::UnknownJob.as_str(), "there is no such job"),
+    }
+}
+
+fn get_job(shared: &Shared, view: &View, request: &Request, id: &str) -> Checked<Response> {
+    let team = auth::team_of(request, view).map_err(denied)?;
+    let id = parse_job_id(id)?;
+    let Some(found) = jobs::find(shared, &id) else {
+        return Ok(outcome_response(
+            &Outcome::not_run(NotRunReason::NoOwner, UNCONFIRMED_RETRY_MS),
+            None,
+        ));
+    };
+    match found.into_iter().next() {
+        None => refuse(404, NotRunReason::UnknownJob.as_str(), "there is no such job"),
+        Some(job) if job.spec.team != team => {
+            refuse(403, NotRunReason::WrongTeam.as_str(), "the job belongs to another team")
+        }
+        Some(job) => Ok(Response::json(&job_json(&job))),
+    }
+}
+
+fn list_jobs(shared: &Shared, view: &View, request: &Request) -> Checked<Response> {
+    let team = auth::team_of(request, view).map_err(denied)?;
+    let (found, silent) = jobs::list(shared, &team);
+    let jobs: Vec<serde_json::Value> = found.iter().map(job_json).collect();
+    Ok(Response::json(&json!({ "jobs": jobs, "pools_without_answer": silent })))
+}
+
+fn delete_job(shared: &Shared, view: &View, request: &Request, id: &str) -> Checked<Response> {
+    let team = auth::team_of(request, view).map_err(denied)?;
+    let outcome = jobs::cancel(shared, parse_job_id(id)?, team);
+    Ok(outcome_response(&outcome, None))
+}
+
+fn get_admin(shared: &Shared, view: &View, request: &Request, rest: &[&str]) -> Checked<Response> {
+    auth::check_operator(request, view).map_err(denied)?;
+    match admin::handle(shared, view, rest) {
+        Some(response) => Ok(response),
+        None => refuse(404, "no_such_resource", "there is no such resource; see docs/API.md"),
+    }
+}
+
+/// A job as JSON.
+pub(crate) fn job_json(job: &JobView) -> serde_json::Value {
+    json!({
+        "id": job.spec.id,
+        "pool": job.pool,
+        "team": job.spec.team,
+        "queue": job.spec.queue,
+        "kind": job.spec.kind,
+        "state": job.state,
+        "tasks": job.counts,
+        "age_ms": job.age_ms,
+        "explanation": job.explanation,
+    })
+}
+
+/// The HTTP answer for an outcome. A back end's answer is passed on as it is.
+pub(crate) fn outcome_response(outcome: &Outcome, request: Option<&RequestId>) -> Response {
+    let response = match outcome {
+        Outcome::Ran(answer) => {
+            Response::from_data(answer.content_type.to_string(), answer.body.clone())
+                .with_status_code(answer.status)
+        }
+        Outcome::RanBefore => Response::json(&json!({
+            "outcome": outcome.as_str(),
+            "message": "the request ran earlier; its answer is no longer held",
+        }))
+        .with_status_code(409),
+        Outcome::NotRun { reason, retry_after_ms } => Response::json(&json!({
+            "outcome": outcome.as_str(),
+            "reason": reason.as_str(),
+            "retry_after_ms": retry_after_ms,
+        }))
+        .with_status_code(reason.http_status()),
+        Outcome::InProgress { retry_after_ms } => Response::json(&json!({
+            "outcome": outcome.as_str(),
+            "retry_after_ms": retry_after_ms,
+        }))
+        .with_status_code(409),
+        Outcome::Unknown { reason } => {
+            Response::json(&json!({ "outcome": outcome.as_str(), "message": reason }))
+                .with_status_code(502)
+        }
+        Outcome::Accepted(job) => {
+            Response::json(&json!({ "outcome": outcome.as_str(), "job": job }))
+                .with_status_code(202)
+        }
+        Outcome::Cancelled(job) => {
+            Response::json(&json!({ "outcome": outcome.as_str(), "job": job }))
+        }
+    };
+    let response = response.with_additional_header("X-Carobsill-Outcome", outcome.as_str());
+    let response = match request {
+        Some(id) => response.with_additional_header("X-Request-Id", id.to_string()),
+        None => response,
+    };
+    with_retry_after(response, outcome)
+}
+
+/// Adds the time to come back, in whole seconds as HTTP wants it.
+fn with_retry_after(response: Response, outcome: &Outcome) -> Response {
+    let wait = match outcome {
+        Outcome::NotRun { retry_after_ms, .. } | Outcome::InProgress { retry_after_ms } => {
+            *retry_after_ms
+        }
+        _ => Millis(0),
+    };
+    if wait == Millis(0) {
+        return response;
+    }
+    let seconds = CompactString::from(wait.0.div_ceil(1000).to_string());
+    response.with_additional_header("Retry-After", seconds.to_string())
+}
--- /dev/null
+++ b/components/entry/src/calls.rs
@@ -0,0 +1,75 @@
+//! Calls to schedulers that wait for their reply.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use libs::crossbeam_channel::{Receiver, Sender, bounded};
+use types::{CallId, JobView, Outcome, PoolStatus, SlotGrant};
+
+/// A scheduler's reply.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// A slot to use now.
+    Grant(Box<SlotGrant>),
+    /// A final outcome.
+    Outcome(Outcome),
+    /// Jobs found.
+    Jobs(Vec<JobView>),
+    /// Status of pools.
+    Status(Vec<PoolStatus>),
+}
+
+/// All calls that wait.
+#[derive(Default)]
+pub(crate) struct Calls {
+    next: AtomicU64,
+    waiting: Mutex<HashMap<CallId, Sender<Reply>>>,
+}
+
+/// A call that waits for its reply. Dropping it forgets the call.
+pub(crate) struct PendingCall<'a> {
+    calls: &'a Calls,
+    /// Id that the reply must carry.
+    pub(crate) id: CallId,
+    replies: Receiver<Reply>,
+}
+
+impl Calls {
+    /// Opens a call that takes up to `replies` replies.
+    pub(crate) fn open(&self, replies: usize) -> PendingCall<'_> {
+        let id = CallId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
+        let (sender, receiver) = bounded(replies);
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sender);
+        PendingCall { calls: self, id, replies: receiver }
+    }
+
+    /// Passes a reply on. Errors: the reply, if nobody waits for it.
+    pub(crate) fn reply(&self, id: CallId, reply: Reply) -> Result<(), Reply> {
+        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        match waiting.get(&id) {
+            // Sent under the lock, so that a reply is either seen by `close` or refused here.
+            Some(sender) => sender.try_send(reply).map_err(|error| error.into_inner()),
+            None => Err(reply),
+        }
+    }
+}
+
+impl PendingCall<'_> {
+    /// Waits for a reply.
+    pub(crate) fn wait(&self, timeout: std::time::Duration) -> Option<Reply> {
+        self.replies.recv_timeout(timeout).ok()
+    }
+
+    /// Ends the call. Returns a reply that arrived meanwhile.
+    pub(crate) fn close(self) -> Option<Reply> {
+        self.calls.waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+        self.replies.try_recv().ok()
+    }
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.calls.waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
--- /dev/null
+++ b/components/entry/src/control.rs
@@ -0,0 +1,171 @@
+//! The control thread: membership, rules, and replies of schedulers to waiting handlers.
+
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use clock::CancellationToken;
+use errors::{Error, Result};
+use libs::crossbeam_channel::{Receiver, select};
+use node::{Node, NodeChange, RulesNews};
+use types::{Envelope, Message, Millis, PoolId, RunEnd, RunReport, SlotGrant};
+
+use crate::Shared;
+use crate::calls::Reply;
+use crate::view::{Owner, Process, View};
+
+/// What the control thread is told by other threads of its process.
+#[derive(Debug, Clone)]
+pub(crate) enum Input {
+    /// Time for a round of heartbeats.
+    Heartbeat,
+    /// News about the rules.
+    Rules(RulesNews),
+}
+
+/// State of the control thread.
+pub(crate) struct Control {
+    node: Node,
+    shared: Arc<Shared>,
+    stopping: CancellationToken,
+}
+
+impl Control {
+    /// Starts the thread. It ends when `services` is cancelled.
+    pub(crate) fn start(
+        node: Node,
+        shared: Arc<Shared>,
+        inputs: Receiver<Input>,
+        peers: Receiver<Envelope>,
+        stopping: CancellationToken,
+        services: CancellationToken,
+    ) -> Result<JoinHandle<()>> {
+        let mut control = Self { node, shared, stopping };
+        thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control.run(&inputs, &peers, &services))
+            .map_err(|error| Error::File("control thread".to_owned(), error))
+    }
+
+    fn run(
+        &mut self,
+        inputs: &Receiver<Input>,
+        peers: &Receiver<Envelope>,
+        services: &CancellationToken,
+    ) {
+        while !services.is_cancelled() {
+            select! {
+                recv(inputs) -> input => match input {
+                    Ok(input) => self.take_input(clock::now(), input),
+                    Err(_) => return,
+                },
+                recv(peers) -> envelope => match envelope {
+                    Ok(envelope) => self.take_envelope(clock::now(), envelope),
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    fn take_input(&mut self, now: Millis, input: Input) {
+        let changes = match input {
+            Input::Heartbeat => {
+                if self.stopping.is_cancelled() {
+                    self.node.set_leaving();
+                }
+                self.node.tick(now)
+            }
+            Input::Rules(news) => self.node.take_rules_news(now, news).into_iter().collect(),
+        };
+        self.note_changes(&changes);
+        self.publish();
+    }
+
+    fn take_envelope(&mut self, now: Millis, envelope: Envelope) {
+        let is_heartbeat = matches!(envelope.message, Message::Heartbeat(_));
+        let (changes, rest) = self.node.receive(now, envelope);
+        self.note_changes(&changes);
+        if is_heartbeat || !changes.is_empty() {
+            self.publish();
+        }
+        if let Some(envelope) = rest {
+            self.take_message(envelope.message, envelope.reply_to);
+        }
+    }
+
+    fn note_changes(&self, changes: &[NodeChange]) {
+        if changes.iter().any(|change| matches!(change, NodeChange::Rules(_))) {
+            self.shared.metrics.count("rules.changes");
+        }
+    }
+
+    fn take_message(&self, message: Message, from: std::net::SocketAddr) {
+        let calls = &self.shared.calls;
+        match message {
+            Message::SlotGrant(grant) => {
+                if let Err(Reply::Grant(grant)) =
+                    calls.reply(grant.call, Reply::Grant(Box::new(grant)))
+                {
+                    self.return_grant(&grant, from);
+                }
+            }
+            Message::SlotRefusal(call, outcome) | Message::JobOutcome(call, outcome) => {
+                calls.reply(call, Reply::Outcome(outcome)).ok();
+            }
+            Message::Jobs(call, jobs) => {
+                calls.reply(call, Reply::Jobs(jobs)).ok();
+            }
+            Message::Status(call, pools) => {
+                calls.reply(call, Reply::Status(pools)).ok();
+            }
+            _ => self.shared.metrics.count("net.messages_unexpected"),
+        }
+    }
+
+    /// Nobody waits for a grant any more: its slot is given back unused.
+    fn return_grant(&self, grant: &SlotGrant, owner: std::net::SocketAddr) {
+        self.shared.metrics.count("requests.late_grants");
+        let report = RunReport {
+            pool: grant.pool.clone(),
+            request: grant.request.clone(),
+            attempt: grant.attempt,
+            end: RunEnd::NotStarted,
+            took_ms: Millis(0),
+            answer: None,
+        };
+        self.shared.mesh.send(owner, Message::SlotReport(report));
+    }
+
+    /// Replaces the picture that request handlers see.
+    fn publish(&self) {
+        let members = self.node.members();
+        let owner_of = |pool: &PoolId| {
+            members
+                .owner_of(pool)
+                .map(|(owner, epoch)| (pool.clone(), Owner { address: owner.address, epoch }))
+        };
+        let rules = self.node.rules().clone();
+        let view = View {
+            trusted: self.node.trusted() && rules.version.0 > 0,
+            stopping: self.stopping.is_cancelled(),
+            owners: rules.pools().filter_map(|pool| owner_of(&pool.name)).collect(),
+            processes: self.processes(),
+            rules,
+        };
+        self.shared.view.set(view);
+    }
+
+    fn processes(&self) -> Vec<Process> {
+        let members = self.node.members();
+        let own = std::iter::once((members.own(), true));
+        let peers = members.peers().map(|peer| (&peer.heartbeat, peer.alive));
+        own.chain(peers)
+            .map(|(heartbeat, alive)| Process {
+                node: heartbeat.node.clone(),
+                role: heartbeat.role,
+                address: heartbeat.address,
+                alive,
+                rules_version: heartbeat.rules_version,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/entry/src/http.rs
@@ -0,0 +1,64 @@
+//! The HTTP server towards callers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::thread::{self, JoinHandle};
+
+use errors::{Error, Result};
+use libs::rouille::{Request, Response, Server};
+use types::{Millis, NotRunReason, Outcome};
+
+use crate::api::{self, outcome_response};
+use crate::{DRAIN_POLL_MS, Shared};
+
+/// Threads beyond the callers that may wait, for health checks and refusals.
+const SPARE_THREADS: usize = 16;
+/// When a caller may come back to an entry that has too many waiting.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// The running server.
+pub(crate) struct HttpFront {
+    in_progress: Arc<AtomicUsize>,
+    stop: mpsc::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl HttpFront {
+    /// Starts the server.
+    pub(crate) fn start(shared: Arc<Shared>) -> Result<Self> {
+        let in_progress = Arc::new(AtomicUsize::new(0));
+        let counted = in_progress.clone();
+        let listen = shared.settings.http.listen;
+        let most = shared.settings.http.max_waiting;
+        let server = Server::new(listen, move |request| handle(&shared, &counted, request))
+            .map_err(|error| Error::Net(format!("cannot listen on {listen}: {error}")))?
+            .pool_size(most + SPARE_THREADS);
+        let (thread, stop) = server.stoppable();
+        Ok(Self { in_progress, stop, thread })
+    }
+
+    /// Waits for requests in progress and then stops.
+    pub(crate) fn stop(self, longest_ms: Millis) {
+        let until = clock::now() + longest_ms;
+        while self.in_progress.load(Ordering::Acquire) > 0 && clock::now() < until {
+            thread::sleep(DRAIN_POLL_MS.to_duration());
+        }
+        self.stop.send(()).ok();
+        self.thread.join().ok();
+        // Answers are written after their handler has returned.
+        thread::sleep(DRAIN_POLL_MS.to_duration());
+    }
+}
+
+fn handle(shared: &Shared, in_progress: &AtomicUsize, request: &Request) -> Response {
+    let waiting = in_progress.fetch_add(1, Ordering::AcqRel);
+    let response = if waiting >= shared.settings.http.max_waiting {
+        shared.metrics.count("http.overloaded");
+        outcome_response(&Outcome::not_run(NotRunReason::QueueFull, RETRY_AFTER_MS), None)
+    } else {
+        api::handle(shared, request)
+    };
+    in_progress.fetch_sub(1, Ordering::AcqRel);
+    response
+}
--- /dev/null
+++ b/components/entry/src/jobs.rs
@@ -0,0 +1,174 @@
+//! Jobs: submit, cancel, look up.
+
+use libs::rand::{self, Rng};
+use types::{
+    CallId, JobCommand, JobId, JobQuery, JobSpec, JobView, Message, Millis, NotRunReason, Outcome,
+    PoolId, TeamId, rendezvous,
+};
+
+use crate::Shared;
+use crate::calls::{PendingCall, Reply};
+
+/// Longest time that a command waits for its commit.
+const COMMAND_TIMEOUT_MS: Millis = Millis(10_000);
+/// Longest time that a query waits for replies.
+const QUERY_TIMEOUT_MS: Millis = Millis(1_000);
+/// Pause before asking again where no owner is known.
+const NO_OWNER_PAUSE_MS: Millis = Millis(50);
+/// Longest wait for a reply before it is checked whether the owner is still the same.
+const OWNER_CHECK_MS: Millis = Millis(100);
+/// When a caller may come back.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Pool for a new job. The same submission key always leads to the same pool.
+pub(crate) fn choose_pool(
+    shared: &Shared,
+    queue: &types::QueueId,
+    key: Option<&str>,
+) -> Option<PoolId> {
+    let view = shared.view.get();
+    let pools = view.rules.pools_for(queue);
+    if let Some(key) = key {
+        return rendezvous(key, pools.iter()).first().map(|pool| (*pool).clone());
+    }
+    let owned: Vec<PoolId> =
+        pools.into_iter().filter(|pool| view.owners.contains_key(pool)).collect();
+    if owned.is_empty() {
+        return None;
+    }
+    Some(owned[rand::rng().random_range(0..owned.len())].clone())
+}
+
+/// The pool that holds a job.
+pub(crate) fn pool_of(job: &JobId) -> Option<PoolId> {
+    job.as_str().split_once(':').and_then(|(pool, _)| pool.parse().ok())
+}
+
+/// Submits a job.
+pub(crate) fn submit(shared: &Shared, spec: JobSpec) -> Outcome {
+    let Some(pool) = pool_of(&spec.id) else { return no_owner() };
+    command(shared, &pool, &JobCommand::Submit(spec))
+}
+
+/// Cancels a job of a team.
+pub(crate) fn cancel(shared: &Shared, id: JobId, team: TeamId) -> Outcome {
+    let known_pool = pool_of(&id).filter(|pool| shared.view.get().rules.pool(pool).is_some());
+    match known_pool {
+        Some(pool) => command(shared, &pool, &JobCommand::Cancel(id, team)),
+        None => Outcome::not_run(NotRunReason::UnknownJob, Millis(0)),
+    }
+}
+
+/// Sends a command to the owner and waits for its outcome. Both commands may be repeated: a new
+/// owner knows from the journal whether the first try took effect.
+fn command(shared: &Shared, pool: &PoolId, command: &JobCommand) -> Outcome {
+    let deadline_at = clock::now() + COMMAND_TIMEOUT_MS;
+    let mut may_have_run = false;
+    while clock::now() < deadline_at {
+        let Some(owner) = shared.view.get().owners.get(pool).cloned() else {
+            std::thread::sleep(NO_OWNER_PAUSE_MS.to_duration());
+            continue;
+        };
+        let call = shared.calls.open(1);
+        shared.mesh.send(owner.address, Message::JobCommand(call.id, command.clone()));
+        let reply = loop {
+            if let Some(reply) = call.wait(OWNER_CHECK_MS.to_duration()) {
+                break Some(reply);
+            }
+            let same_owner = shared.view.get().owners.get(pool) == Some(&owner);
+            if !same_owner || clock::now() >= deadline_at {
+                break call.close();
+            }
+        };
+        match reply {
+            Some(Reply::Outcome(Outcome::NotRun { reason: NotRunReason::NoOwner, .. })) => {
+                std::thread::sleep(NO_OWNER_PAUSE_MS.to_duration());
+            }
+            // The command is repeated under the same id, so that its own first try answers here.
+            Some(Reply::Outcome(Outcome::InProgress { retry_after_ms })) => {
+                std::thread::sleep(retry_after_ms.to_duration());
+            }
+            Some(Reply::Outcome(Outcome::Unknown { .. })) => may_have_run = true,
+            Some(Reply::Outcome(outcome @ Outcome::NotRun { .. }))
+                if may_have_run && is_temporary(&outcome) =>
+            {
+                std::thread::sleep(NO_OWNER_PAUSE_MS.to_duration());
+            }
+            Some(Reply::Outcome(outcome)) => return outcome,
+            _ => may_have_run = true,
+        }
+    }
+    if may_have_run {
+        Outcome::unknown("no answer from the pool's owner in time")
+    } else {
+        no_owner()
+    }
+}
+
+/// Whether a refusal says nothing about an earlier try of the same command.
+fn is_temporary(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::NotRun { retry_after_ms, .. } if *retry_after_ms > Millis(0))
+}
+
+fn no_owner() -> Outcome {
+    Outcome::not_run(NotRunReason::NoOwner, RETRY_AFTER_MS)
+}
+
+/// Looks up one job. None if no owner answers; an empty list if there is no such job.
+pub(crate) fn find(shared: &Shared, id: &JobId) -> Option<Vec<JobView>> {
+    let pool = pool_of(id)?;
+    let owner = shared.view.get().owners.get(&pool).cloned()?;
+    let call = shared.calls.open(1);
+    shared.mesh.send(owner.address, Message::JobQuery(call.id, JobQuery::One(id.clone())));
+    jobs_from(&call)
+}
+
+/// All jobs of a team. The second value names pools that did not answer.
+pub(crate) fn list(shared: &Shared, team: &TeamId) -> (Vec<JobView>, Vec<PoolId>) {
+    let view = shared.view.get();
+    let mut calls: Vec<(PoolId, Option<PendingCall<'_>>)> = Vec::new();
+    for pool in view.rules.pools() {
+        let call = view.owners.get(&pool.name).map(|owner| {
+            let call = shared.calls.open(1);
+            let query = JobQuery::OfTeam(pool.name.clone(), team.clone());
+            shared.mesh.send(owner.address, Message::JobQuery(call.id, query));
+            call
+        });
+        calls.push((pool.name.clone(), call));
+    }
+    let mut jobs = Vec::new();
+    let mut silent = Vec::new();
+    for (pool, call) in calls {
+        match call.as_ref().and_then(jobs_from) {
+            Some(found) => jobs.extend(found),
+            None => silent.push(pool),
+        }
+    }
+    (jobs, silent)
+}
+
+fn jobs_from(call: &PendingCall<'_>) -> Option<Vec<JobView>> {
+    match call.wait(QUERY_TIMEOUT_MS.to_duration()) {
+        Some(Reply::Jobs(jobs)) => Some(jobs),
+        _ => None,
+    }
+}
+
+/// Asks every owner for the status of its pools.
+pub(crate) fn statuses(shared: &Shared) -> Vec<types::PoolStatus> {
+    let view = shared.view.get();
+    let mut owners: Vec<_> = view.owners.values().map(|owner| owner.address).collect();
+    owners.sort();
+    owners.dedup();
+    let calls: Vec<PendingCall<'_>> = owners.iter().map(|_| shared.calls.open(1)).collect();
+    for (owner, call) in owners.iter().zip(&calls) {
+        let id: CallId = call.id;
+        shared.mesh.send(*owner, Message::StatusQuery(id));
+    }
+    let replies = calls.iter().filter_map(|call| call.wait(QUERY_TIMEOUT_MS.to_duration()));
+    let pools = replies.flat_map(|reply| match reply {
+        Reply::Status(pools) => pools,
+        _ => Vec::new(),
+    });
+    pools.collect()
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,123 @@
+//! The entry process: takes callers' requests over HTTP, routes them to pool owners and gives
+//! each caller one truthful outcome.
+
+mod admin;
+mod api;
+mod auth;
+mod budget;
+mod calls;
+mod control;
+mod http;
+mod jobs;
+mod request;
+mod view;
+
+use std::sync::Arc;
+use std::thread;
+
+use backends::RunnerClient;
+use clock::{CancellationToken, Timer};
+use config::Settings;
+use errors::Result;
+use kv::HttpStore;
+use libs::crossbeam_channel::bounded;
+use libs::log::info;
+use metrics::Metrics;
+use net::Mesh;
+use node::{Node, RulesWatch, new_identity};
+use timeline::{EventKind, Timeline};
+use types::{Millis, Role};
+
+use crate::budget::RetryBudget;
+use crate::calls::Calls;
+use crate::control::{Control, Input};
+use crate::http::HttpFront;
+use crate::view::SharedView;
+
+/// Inputs that may wait for the control thread.
+const INPUT_RING: usize = 1_024;
+/// Messages of peers that may wait for the control thread.
+const PEER_RING: usize = 65_536;
+/// Time after SIGTERM in which new requests are still served, so that the balancer can react.
+const DRAIN_MS: Millis = Millis(1_000);
+/// Period of looking whether requests in progress have ended.
+const DRAIN_POLL_MS: Millis = Millis(20);
+
+/// What request handlers share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) view: SharedView,
+    pub(crate) calls: Calls,
+    pub(crate) mesh: Mesh,
+    pub(crate) runners: RunnerClient,
+    pub(crate) budget: RetryBudget,
+    pub(crate) metrics: Metrics,
+    pub(crate) timeline: Timeline,
+}
+
+/// Runs the process until it is told to stop, and then until requests in progress have ended.
+pub fn run(settings: &Settings, token: &CancellationToken) -> Result<()> {
+    // Transports must outlive the token, because requests in progress still need them.
+    let services = CancellationToken::new();
+    let identity = new_identity(settings.process.name.clone());
+    let metrics = Metrics::new(settings.statsd);
+    let timeline = Timeline::start(identity.clone(), settings.timeline_path.as_deref())?;
+    let (peers_in, peers_out) = bounded(PEER_RING);
+    let (inputs_in, inputs_out) = bounded(INPUT_RING);
+    let mesh = Mesh::start(
+        identity.clone(),
+        settings.process.listen,
+        &settings.tls,
+        peers_in,
+        timeline.clone(),
+        metrics.clone(),
+        services.clone(),
+    )?;
+    let store = Arc::new(HttpStore::new(
+        &settings.kv.url,
+        settings.kv.call_timeout_ms,
+        settings.kv.reads_per_s,
+        settings.kv.writes_per_s,
+        metrics.clone(),
+    ));
+    let watch = RulesWatch::start(store, inputs_in.clone(), Input::Rules, services.clone())?;
+    let timer = Timer::start(services.clone())?;
+    timer.subscribe(settings.timing.heartbeat_ms, inputs_in, Input::Heartbeat);
+    let shared = Arc::new(Shared {
+        settings: settings.clone(),
+        view: SharedView::default(),
+        calls: Calls::default(),
+        mesh: mesh.clone(),
+        runners: RunnerClient::default(),
+        budget: RetryBudget::default(),
+        metrics,
+        timeline: timeline.clone(),
+    });
+    let node =
+        Node::new(identity, Role::Entry, settings, mesh, timeline.clone(), watch, clock::now());
+    let control = Control::start(
+        node,
+        shared.clone(),
+        inputs_out,
+        peers_out,
+        token.clone(),
+        services.clone(),
+    )?;
+    let front = HttpFront::start(shared.clone())?;
+    timeline.record(EventKind::ProcessReady, "", "");
+    info!("entry {} serves callers on {}", settings.process.name, settings.http.listen);
+    wait_for(token);
+    timeline.record(EventKind::ProcessStopping, "", "");
+    info!("stopping: requests in progress are served to their end");
+    thread::sleep(DRAIN_MS.to_duration());
+    front.stop(settings.timing.shutdown_ms);
+    services.cancel();
+    control.join().ok();
+    Ok(())
+}
+
+fn wait_for(token: &CancellationToken) {
+    while !token.is_cancelled() {
+        thread::sleep(DRAIN_POLL_MS.to_duration());
+    }
+}
--- /dev/null
+++ b/components/membership/src/members.rs
@@ -0,0 +1,290 @@
+//! The table of known processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use libs::rand::Rng;
+use libs::rand::SeedableRng;
+use libs::rand::rngs::StdRng;
+use libs::rand::seq::IndexedRandom;
+use types::{Epoch, Heartbeat, Millis, NodeName, PoolId, Role};
+
+/// Peers that each round of heartbeats goes to. Up to this many peers all hear each other directly.
+const FANOUT: usize = 6;
+/// Heartbeats of other processes that one message passes on.
+const RELAYED: usize = 24;
+/// Silence after which a process is no longer counted among the known ones.
+const FORGET_MS: Millis = Millis(600_000);
+
+/// What the table needs to know of its process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembersSettings {
+    /// Addresses of all processes, as configured. May contain the own address.
+    pub seeds: Vec<SocketAddr>,
+    /// Silence after which a peer is suspected.
+    pub suspect_ms: Millis,
+    /// Silence from the key-value service after which rules count as unconfirmed.
+    pub unconfirmed_ms: Millis,
+    /// Seed of the choice of peers.
+    pub random_seed: u64,
+}
+
+/// What is known of one peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its newest heartbeat.
+    pub heartbeat: Heartbeat,
+    /// When that heartbeat arrived.
+    pub heard_at: Millis,
+    /// Whether it is alive as far as known.
+    pub alive: bool,
+}
+
+/// A change of the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A peer is alive. `restarted` means that its name was known under another incarnation.
+    Alive {
+        /// Its name.
+        name: NodeName,
+        /// Its address.
+        address: SocketAddr,
+        /// Whether it is another incarnation than before.
+        restarted: bool,
+    },
+    /// A peer has been silent for too long.
+    Suspected {
+        /// Its name.
+        name: NodeName,
+    },
+    /// A peer has left in order.
+    Left {
+        /// Its name.
+        name: NodeName,
+    },
+}
+
+/// The table of known processes, as one of them sees it.
+pub struct Members {
+    settings: MembersSettings,
+    own: Heartbeat,
+    peers: BTreeMap<NodeName, Peer>,
+    /// Addresses that count towards a majority, with the time they were last heard or configured.
+    known: BTreeMap<SocketAddr, Millis>,
+    /// When the rules were last confirmed by the key-value service, directly or through peers.
+    confirmed_at: Option<Millis>,
+    random: StdRng,
+}
+
+impl Members {
+    /// A table that knows only its own process and the configured addresses.
+    pub fn new(settings: MembersSettings, own: Heartbeat, now: Millis) -> Self {
+        let known = settings
+            .seeds
+            .iter()
+            .filter(|seed| **seed != own.address)
+            .map(|seed| (*seed, now))
+            .collect();
+        let random = StdRng::seed_from_u64(settings.random_seed);
+        Self { settings, own, peers: BTreeMap::new(), known, confirmed_at: None, random }
+    }
+
+    /// The own heartbeat, to change what it says.
+    pub fn own_mut(&mut self) -> &mut Heartbeat {
+        &mut self.own
+    }
+
+    /// The own heartbeat.
+    pub fn own(&self) -> &Heartbeat {
+        &self.own
+    }
+
+    /// Peers that are alive and not leaving.
+    pub fn alive(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.alive && !peer.heartbeat.leaving)
+    }
+
+    /// All peers that were heard lately, alive or not.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Names of all schedulers that are alive and not leaving, with the own process if it is one.
+    pub fn live_schedulers(&self) -> BTreeSet<NodeName> {
+        let own = std::iter::once(&self.own).filter(|own| !own.leaving);
+        let heartbeats = own.chain(self.alive().map(|peer| &peer.heartbeat));
+        heartbeats
+            .filter(|heartbeat| heartbeat.role == Role::Scheduler)
+            .map(|heartbeat| heartbeat.node.name.clone())
+            .collect()
+    }
+
+    /// The live owner of a pool with the highest epoch. The owner may be the own process.
+    pub fn owner_of(&self, pool: &PoolId) -> Option<(&Heartbeat, Epoch)> {
+        let alive = self.peers.values().filter(|peer| peer.alive).map(|peer| &peer.heartbeat);
+        alive
+            .chain(std::iter::once(&self.own))
+            .filter_map(|heartbeat| {
+                let owned = heartbeat.owned.iter().find(|owned| owned.pool == *pool)?;
+                Some((heartbeat, owned.epoch))
+            })
+            .max_by_key(|(_, epoch)| *epoch)
+    }
+
+    /// The highest epoch of a pool that any process was heard to hold.
+    pub fn highest_epoch(&self, pool: &PoolId) -> Option<Epoch> {
+        let heartbeats = self.peers.values().map(|peer| &peer.heartbeat);
+        heartbeats
+            .flat_map(|heartbeat| &heartbeat.owned)
+            .filter(|owned| owned.pool == *pool)
+            .map(|owned| owned.epoch)
+            .max()
+    }
+
+    /// Whether more than half of all known processes, the own one included, are heard.
+    pub fn hears_majority(&self) -> bool {
+        let alive = 1 + self.peers.values().filter(|peer| peer.alive).count();
+        let known = 1 + self.known.len();
+        2 * alive > known
+    }
+
+    /// Notes that the key-value service confirmed the own rules version.
+    pub fn confirm_rules(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Whether keys and rules may be trusted at this moment.
+    ///
+    /// True while the key-value service confirmed them recently. Without that, true only while most
+    /// known processes are heard: then the service itself is likely down, and nobody can change rules.
+    pub fn rules_trusted(&self, now: Millis) -> bool {
+        let recently =
+            self.confirmed_at.is_some_and(|at| now.since(at) < self.settings.unconfirmed_ms);
+        recently || self.hears_majority()
+    }
+
+    /// Starts a round: suspects silent peers and returns the changes.
+    pub fn tick(&mut self, now: Millis) -> Vec<Change> {
+        let suspect_ms = self.settings.suspect_ms;
+        let mut changes = Vec::new();
+        for (name, peer) in &mut self.peers {
+            if peer.alive && now.since(peer.heard_at) >= suspect_ms {
+                peer.alive = false;
+                changes.push(Change::Suspected { name: name.clone() });
+            }
+        }
+        self.peers.retain(|_, peer| now.since(peer.heard_at) < FORGET_MS);
+        self.known.retain(|_, heard_at| now.since(*heard_at) < FORGET_MS);
+        changes
+    }
+
+    /// The heartbeats to send in this round, by address.
+    pub fn heartbeats(&mut self, now: Millis) -> Vec<(SocketAddr, Vec<Heartbeat>)> {
+        self.own.sequence += 1;
+        let confirmed_at = self.confirmed_at.unwrap_or(Millis(0));
+        self.own.freshness.confirmed_age_ms = match self.confirmed_at {
+            Some(_) => now.since(confirmed_at),
+            None => Millis(u64::MAX),
+        };
+        let targets = self.choose_targets();
+        let relayed = self.relayed(now, targets.len());
+        targets
+            .into_iter()
+            .map(|target| {
+                let mut heartbeats = vec![self.own.clone()];
+                heartbeats.extend(
+                    relayed.iter().filter(|heartbeat| heartbeat.address != target).cloned(),
+                );
+                (target, heartbeats)
+            })
+            .collect()
+    }
+
+    fn choose_targets(&mut self) -> Vec<SocketAddr> {
+        let addresses: Vec<SocketAddr> = self.known.keys().copied().collect();
+        if addresses.len() <= FANOUT {
+            return addresses;
+        }
+        addresses.choose_multiple(&mut self.random, FANOUT).copied().collect()
+    }
+
+    /// Heartbeats of others to pass on: none while everybody hears everybody directly.
+    fn relayed(&mut self, now: Millis, targets: usize) -> Vec<Heartbeat> {
+        if self.known.len() <= targets {
+            return Vec::new();
+        }
+        let suspect_ms = self.settings.suspect_ms;
+        let mut recent: Vec<&Peer> = self
+            .peers
+            .values()
+            .filter(|peer| peer.alive && now.since(peer.heard_at) < suspect_ms)
+            .collect();
+        recent.sort_by_key(|peer| std::cmp::Reverse(peer.heard_at));
+        recent.truncate(2 * RELAYED);
+        let skip = if recent.len() > RELAYED {
+            self.random.random_range(0..=recent.len() - RELAYED)
+        } else {
+            0
+        };
+        recent.into_iter().skip(skip).take(RELAYED).map(|peer| age_heartbeat(peer, now)).collect()
+    }
+
+    /// Takes heartbeats that arrived in one message and returns the changes.
+    pub fn receive(&mut self, heartbeats: Vec<Heartbeat>, now: Millis) -> Vec<Change> {
+        heartbeats.into_iter().filter_map(|heartbeat| self.receive_one(heartbeat, now)).collect()
+    }
+
+    fn receive_one(&mut self, heartbeat: Heartbeat, now: Millis) -> Option<Change> {
+        if heartbeat.node.name == self.own.node.name {
+            return None;
+        }
+        let name = heartbeat.node.name.clone();
+        let address = heartbeat.address;
+        let before = self.peers.get(&name).cloned();
+        let old = before.as_ref().map(|peer| &peer.heartbeat);
+        if old.is_some_and(|old| !is_newer(&heartbeat, old)) {
+            return None;
+        }
+        self.confirm_through(&heartbeat, now);
+        if let Some(old) = old.filter(|old| old.address != address) {
+            self.known.remove(&old.address);
+        }
+        let restarted = old.is_some_and(|old| old.node != heartbeat.node);
+        let was_leaving = old.is_some_and(|old| old.leaving) && !restarted;
+        let was_alive = before.as_ref().is_some_and(|peer| peer.alive) && !restarted;
+        let leaving = heartbeat.leaving;
+        self.peers.insert(name.clone(), Peer { heartbeat, heard_at: now, alive: true });
+        if leaving {
+            self.known.remove(&address);
+            return (!was_leaving).then_some(Change::Left { name });
+        }
+        self.known.insert(address, now);
+        (!was_alive).then_some(Change::Alive { name, address, restarted })
+    }
+
+    /// A peer with the same rules passes on its confirmation.
+    fn confirm_through(&mut self, heartbeat: &Heartbeat, now: Millis) {
+        let age_ms = heartbeat.freshness.confirmed_age_ms;
+        let is_same = heartbeat.rules_version == self.own.rules_version;
+        if is_same && age_ms <= now {
+            self.confirm_rules(now - age_ms);
+        }
+    }
+}
+
+/// Whether a heartbeat replaces another one of the same name.
+fn is_newer(new: &Heartbeat, old: &Heartbeat) -> bool {
+    if new.node.incarnation != old.node.incarnation {
+        // Incarnations start with the wall time, so that a later run of a process is larger.
+        return new.node.incarnation > old.node.incarnation;
+    }
+    new.sequence > old.sequence
+}
+
+/// A peer's heartbeat with its confirmation aged by the time since it was heard.
+fn age_heartbeat(peer: &Peer, now: Millis) -> Heartbeat {
+    let mut heartbeat = peer.heartbeat.clone();
+    let age_ms = &mut heartbeat.freshness.confirmed_age_ms;
+    *age_ms = *age_ms + now.since(peer.heard_at);
+    heartbeat
+}
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,14 @@
+//! What every process of carobsill has in common: identity, membership, the rules in force and
+//! how they spread, and start-up.
+
+mod args;
+mod identity;
+mod logging;
+mod node;
+mod rules_watch;
+
+pub use args::ProcessArgs;
+pub use identity::new_identity;
+pub use logging::start_logging;
+pub use node::{Node, NodeChange};
+pub use rules_watch::{RULES_KEY, RulesNews, RulesWatch};
--- /dev/null
+++ b/components/pool/src/lib.rs
@@ -0,0 +1,27 @@
+//! The decisions of one pool: ownership, journal, limits, queueing, placement, leases and recovery.
+//!
+//! [`Pool::step`] takes an event and returns actions. It has no thread, socket, clock or global
+//! random number, so that the same code runs in golden sessions, property tests, benches and in
+//! `carobsill-scheduler`.
+
+mod event;
+mod grants;
+mod jobs;
+mod journal;
+mod lifecycle;
+mod limits;
+mod place;
+mod pool;
+mod preempt;
+mod queue;
+mod record;
+mod requests;
+mod runners;
+mod shares;
+mod tasks;
+mod view;
+mod workers;
+
+pub use event::{Action, CallFailure, Event, ReplyTo, StoreAnswer, StoreCall, StoreFailure};
+pub use pool::{Pool, PoolSettings};
+pub use record::{DurableState, Head, Record, RequestEnd, TaskEnd};
--- /dev/null
+++ b/components/pool/src/lifecycle.rs
@@ -0,0 +1,236 @@
+//! Becoming owner, staying owner and ceasing to be owner.
+
+use timeline::EventKind;
+use types::{Epoch, Message, Millis, NotRunReason, Outcome, RequestId, WorkerInfo};
+
+use crate::event::{StoreAnswer, StoreFailure};
+use crate::jobs::{Job, Jobs};
+use crate::journal::{Journal, Progress};
+use crate::pool::{FollowUp, Pool, StorePurpose, Tenure};
+use crate::queue::WorkQueue;
+use crate::requests::{Requests, Stage};
+use crate::runners::START_WINDOW_MS;
+use crate::workers::{Worker, lapse_after};
+
+/// Longest time that a runner works on one request, over all queues.
+const MAX_RUN_LIMIT_MS: Millis = Millis(10_000);
+
+impl Pool {
+    pub(crate) fn claim(&mut self) {
+        if self.tenure != Tenure::None || !self.trusted {
+            return;
+        }
+        if let Some(call) = self.journal.claim() {
+            self.tenure = Tenure::Claiming;
+            self.call_store(StorePurpose::Journal, call);
+        }
+    }
+
+    pub(crate) fn release(&mut self) {
+        if self.tenure != Tenure::Owner {
+            return;
+        }
+        self.tenure = Tenure::Releasing;
+        let waiting: Vec<RequestId> = self
+            .requests
+            .live
+            .iter()
+            .filter(|(_, one)| one.stage == Stage::Waiting)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in waiting {
+            self.refuse_request(&id, NotRunReason::NoOwner);
+        }
+    }
+
+    /// A peer holds a higher epoch: this process was replaced.
+    pub(crate) fn hear_epoch(&mut self, epoch: Epoch) {
+        if self.is_owner() && epoch > self.journal.epoch() {
+            self.lose_ownership(Vec::new());
+        }
+    }
+
+    pub(crate) fn store_answered(
+        &mut self,
+        now: Millis,
+        token: u64,
+        answer: Result<StoreAnswer, StoreFailure>,
+    ) {
+        match self.take_purpose(token) {
+            Some(StorePurpose::Journal) => self.journal_answered(now, answer),
+            Some(StorePurpose::Limits(bucket)) => {
+                if let Some(call) = self.limits.answer(bucket, answer) {
+                    self.call_store(StorePurpose::Limits(bucket), call);
+                }
+                self.stop_over_limits();
+                self.needs_placing = true;
+                self.needs_granting = true;
+            }
+            Some(StorePurpose::Cleanup) | None => {}
+        }
+    }
+
+    fn journal_answered(&mut self, now: Millis, answer: Result<StoreAnswer, StoreFailure>) {
+        let (progress, next) = self.journal.answer(now, answer);
+        if let Some(call) = next {
+            self.call_store(StorePurpose::Journal, call);
+        }
+        match progress {
+            Progress::Pending => {}
+            Progress::Claimed => self.become_owner(now),
+            Progress::ClaimFailed => self.tenure = Tenure::None,
+            Progress::Committed(follow_ups) => {
+                for follow_up in follow_ups {
+                    self.follow_up(now, follow_up);
+                }
+            }
+            Progress::Released => {
+                self.record_event(EventKind::PoolReleased, "", "");
+                self.forget_everything();
+            }
+            Progress::Lost(follow_ups) => self.lose_ownership(follow_ups),
+        }
+    }
+
+    fn become_owner(&mut self, now: Millis) {
+        self.tenure = Tenure::Owner;
+        self.claimed_at = now;
+        self.set_first_attempt(self.journal.epoch());
+        self.limits.reset();
+        self.shares.reset();
+        self.recover_jobs(now);
+        self.recover_workers(now);
+        self.recover_runners(now);
+        let detail = format!("{} jobs, {} workers", self.jobs.len(), self.workers.by_id.len());
+        self.record_event(EventKind::PoolOwned, "", &detail);
+    }
+
+    fn recover_jobs(&mut self, now: Millis) {
+        self.jobs = Jobs::default();
+        self.queue = WorkQueue::default();
+        let durable: Vec<_> = self.journal.state().jobs.values().cloned().collect();
+        for job in &durable {
+            let place = self.jobs.next_place();
+            self.jobs.insert(Job::recovered(job, place, now));
+        }
+    }
+
+    /// Workers that the former owner may have used count as running unseen tasks until they are
+    /// attached, or until their lease has surely lapsed: the former owner stops renewing leases
+    /// at the latest `unconfirmed_ms` after it was replaced.
+    fn recover_workers(&mut self, now: Millis) {
+        let lapse_at = lapse_after(now + self.settings.unconfirmed_ms, self.settings.lease_ms);
+        let joined = self.journal.state().workers.clone();
+        for worker in self.workers.by_id.values_mut() {
+            let info = worker.info.clone();
+            let listed = worker.listed;
+            *worker = Worker::new(info, listed);
+        }
+        for (id, url) in joined {
+            let unlisted = || {
+                let info = WorkerInfo {
+                    worker: id.clone(),
+                    url: url.clone(),
+                    rack: Default::default(),
+                    capacity: Default::default(),
+                    leaving: true,
+                };
+                Worker::new(info, false)
+            };
+            let worker = self.workers.by_id.entry(id.clone()).or_insert_with(unlisted);
+            worker.joined = true;
+            worker.lapse_at = Some(lapse_at);
+            self.workers.unresolved.insert(id);
+        }
+        self.rebuild_index();
+        self.check_resolved();
+    }
+
+    fn recover_runners(&mut self, now: Millis) {
+        self.requests = Requests::default();
+        for runner in self.runners.by_id.values_mut() {
+            *runner = crate::runners::Runner::new(runner.info.clone());
+        }
+        let longest_run = START_WINDOW_MS + MAX_RUN_LIMIT_MS;
+        self.runners.former_runs_end_at =
+            lapse_after(now + self.settings.unconfirmed_ms, longest_run);
+    }
+
+    /// Another process owns the pool. `in_flight` are follow-ups of a write whose effect is not known.
+    pub(crate) fn lose_ownership(&mut self, in_flight: Vec<FollowUp>) {
+        self.record_event(EventKind::PoolLost, "", "another process owns the pool");
+        for follow_up in in_flight {
+            match follow_up {
+                FollowUp::Accept(to, call, _) | FollowUp::Reply(to, call, _) => {
+                    let outcome = Outcome::unknown("the pool changed its owner during the commit");
+                    self.send(to, Message::JobOutcome(call, outcome));
+                }
+                // Never granted, so that it surely did not run.
+                FollowUp::Grant(request) => self.refuse_request(&request, NotRunReason::NoOwner),
+                FollowUp::StartTask(_) | FollowUp::Forget(..) | FollowUp::Joined(_) => {}
+            }
+        }
+        for follow_up in self.journal.take_pending() {
+            if let FollowUp::Accept(to, call, _) | FollowUp::Reply(to, call, _) = follow_up {
+                let outcome = self.refusal(NotRunReason::NoOwner, Millis(0));
+                self.send(to, Message::JobOutcome(call, outcome));
+            }
+        }
+        let not_granted: Vec<RequestId> = self
+            .requests
+            .live
+            .iter()
+            .filter(|(_, request)| !matches!(request.stage, Stage::Granted(_)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for request in not_granted {
+            self.refuse_request(&request, NotRunReason::NoOwner);
+        }
+        self.forget_everything();
+    }
+
+    fn forget_everything(&mut self) {
+        self.tenure = Tenure::None;
+        self.journal = Journal::new(self.settings.pool.clone(), self.settings.me.clone());
+        self.jobs = Jobs::default();
+        self.queue = WorkQueue::default();
+        self.requests = Requests::default();
+        self.limits.reset();
+        self.forget_limit_calls();
+        self.shares.reset();
+        self.workers.unresolved.clear();
+        self.workers.by_id.retain(|_, worker| worker.listed);
+        for worker in self.workers.by_id.values_mut() {
+            *worker = Worker::new(worker.info.clone(), true);
+        }
+        for runner in self.runners.by_id.values_mut() {
+            *runner = crate::runners::Runner::new(runner.info.clone());
+        }
+        self.rebuild_index();
+    }
+
+    fn follow_up(&mut self, now: Millis, follow_up: FollowUp) {
+        match follow_up {
+            FollowUp::Accept(to, call, job) => {
+                self.record_event(EventKind::JobAccepted, job.as_str(), "");
+                self.send(to, Message::JobOutcome(call, Outcome::Accepted(job.clone())));
+                self.enqueue_job(&job);
+            }
+            FollowUp::Reply(to, call, outcome) => self.send(to, Message::JobOutcome(call, outcome)),
+            FollowUp::StartTask(task) => self.queue_start(&task),
+            FollowUp::Grant(request) => self.grant_committed(now, &request),
+            FollowUp::Forget(worker, task) => {
+                if let Some(worker) = self.workers.by_id.get_mut(&worker) {
+                    worker.forget.insert(task);
+                }
+            }
+            FollowUp::Joined(id) => {
+                if let Some(worker) = self.workers.by_id.get_mut(&id) {
+                    worker.joined = true;
+                    worker.joining = false;
+                }
+                self.update_open(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/pool/src/limits.rs
@@ -0,0 +1,430 @@
+//! Upper limits of teams, split among pools so that each pool can start work on its own.
+//!
+//! One document for each bucket of teams holds every pool's slice. The sum of the slices never
+//! exceeds the limit. A pool takes more and gives back by compare-and-swap; while the key-value
+//! service does not answer, the slices stay as they are.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use config::{Limit, Rules};
+use errors::Error;
+use libs::compact_str::CompactString;
+use libs::postcard;
+use serde::{Deserialize, Serialize};
+use types::{Millis, PoolId, Resources, TeamId, stable_hash};
+
+use crate::event::{StoreAnswer, StoreCall, StoreFailure};
+
+/// Documents over which teams are distributed.
+const BUCKETS: u64 = 8;
+/// Shortest time between two reads of the same document.
+const MIN_READ_GAP_MS: Millis = Millis(250);
+/// Time after which a document is read again without a reason.
+const REFRESH_MS: Millis = Millis(5_000);
+/// Time after which a document is read again while another pool wants more.
+const WANTED_REFRESH_MS: Millis = Millis(1_000);
+/// A pool asks for this part of the whole limit, in percent, beyond what it needs at once.
+const CHUNK_PERCENT: u64 = 5;
+
+/// An amount of everything that is limited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct Amount {
+    /// Resources granted to running tasks.
+    pub(crate) resources: Resources,
+    /// Runner slots in use.
+    pub(crate) slots: u64,
+}
+
+impl Amount {
+    fn parts(&self) -> [u64; 4] {
+        [self.resources.cpu_milli, self.resources.mem_mb, self.resources.accels, self.slots]
+    }
+
+    fn from_parts(parts: [u64; 4]) -> Self {
+        let [cpu_milli, mem_mb, accels, slots] = parts;
+        Self { resources: Resources { cpu_milli, mem_mb, accels }, slots }
+    }
+
+    fn map2(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
+        let (left, right) = (self.parts(), other.parts());
+        Self::from_parts(std::array::from_fn(|index| combine(left[index], right[index])))
+    }
+
+    pub(crate) fn plus(&self, other: &Self) -> Self {
+        self.map2(other, u64::saturating_add)
+    }
+
+    pub(crate) fn minus(&self, other: &Self) -> Self {
+        self.map2(other, u64::saturating_sub)
+    }
+
+    fn min(&self, other: &Self) -> Self {
+        self.map2(other, u64::min)
+    }
+
+    fn max(&self, other: &Self) -> Self {
+        self.map2(other, u64::max)
+    }
+
+    /// Whether every part of `other` is at most the same part of `self`.
+    pub(crate) fn covers(&self, other: &Self) -> bool {
+        self.parts().iter().zip(other.parts()).all(|(own, part)| *own >= part)
+    }
+
+    pub(crate) fn of_resources(resources: Resources) -> Self {
+        Self { resources, slots: 0 }
+    }
+
+    pub(crate) fn one_slot() -> Self {
+        Self { resources: Resources::ZERO, slots: 1 }
+    }
+}
+
+impl From<Limit> for Amount {
+    fn from(limit: Limit) -> Self {
+        Self { resources: limit.resources, slots: limit.slots }
+    }
+}
+
+/// One team in a bucket's document.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct TeamSlices {
+    slices: BTreeMap<PoolId, Amount>,
+    /// Pools that could not get what they need.
+    wanted_by: BTreeSet<PoolId>,
+}
+
+/// A bucket's document.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct BucketDoc {
+    teams: BTreeMap<TeamId, TeamSlices>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Idle,
+    Reading,
+    Writing,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    stage: Stage,
+    version: u64,
+    doc: BucketDoc,
+    /// The document as it is being written.
+    proposed: BucketDoc,
+    read_at: Option<Millis>,
+    urgent: bool,
+    /// Whether the document was read or written since this process became owner.
+    known: bool,
+}
+
+/// The upper limits as one pool sees them.
+pub(crate) struct Limits {
+    pool: PoolId,
+    /// What this pool may use of each limited team, as last confirmed.
+    slices: BTreeMap<TeamId, Amount>,
+    used: BTreeMap<TeamId, Amount>,
+    /// What a team was refused since the last write.
+    needs: BTreeMap<TeamId, Amount>,
+    limits: BTreeMap<TeamId, Amount>,
+    /// What any team may be using unseen, on back ends that are not attached yet.
+    unknown: Amount,
+    buckets: Vec<Bucket>,
+}
+
+impl Limits {
+    pub(crate) fn new(pool: PoolId) -> Self {
+        let bucket = || Bucket {
+            stage: Stage::Idle,
+            version: 0,
+            doc: BucketDoc::default(),
+            proposed: BucketDoc::default(),
+            read_at: None,
+            urgent: false,
+            known: false,
+        };
+        Self {
+            pool,
+            unknown: Amount::default(),
+            slices: BTreeMap::new(),
+            used: BTreeMap::new(),
+            needs: BTreeMap::new(),
+            limits: BTreeMap::new(),
+            buckets: (0..BUCKETS).map(|_| bucket()).collect(),
+        }
+    }
+
+    /// Forgets slices and use, because another process owns the pool or this one has just become owner.
+    pub(crate) fn reset(&mut self) {
+        let limits = std::mem::take(&mut self.limits);
+        *self = Self { limits, ..Self::new(self.pool.clone()) };
+    }
+
+    /// Takes the limits of new rules. Buckets with a changed limit are read at once.
+    pub(crate) fn set_rules(&mut self, rules: &Rules) {
+        let limits: BTreeMap<TeamId, Amount> =
+            rules.limits().map(|(team, limit)| (team.clone(), Amount::from(limit))).collect();
+        let changed: Vec<TeamId> = limits
+            .iter()
+            .filter(|(team, limit)| self.limits.get(*team) != Some(limit))
+            .map(|(team, _)| team.clone())
+            .collect();
+        self.limits = limits;
+        for team in changed {
+            self.buckets[bucket_of(&team)].urgent = true;
+            if let Some(slice) = self.slices.get_mut(&team) {
+                *slice = slice.min(&self.limits[&team]);
+            }
+        }
+    }
+
+    /// Sets what any team may be using unseen.
+    pub(crate) fn set_unknown(&mut self, unknown: Amount) {
+        self.unknown = unknown;
+    }
+
+    /// What the team uses in this pool.
+    pub(crate) fn used(&self, team: &TeamId) -> Amount {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    /// The team's slice, if it has a limit.
+    pub(crate) fn slice(&self, team: &TeamId) -> Option<Amount> {
+        self.limits.contains_key(team).then(|| self.slices.get(team).copied().unwrap_or_default())
+    }
+
+    /// The team's limit over all pools.
+    pub(crate) fn limit(&self, team: &TeamId) -> Option<Amount> {
+        self.limits.get(team).copied()
+    }
+
+    /// Whether the team may use `need` more. A refusal is remembered, so that more is asked for.
+    pub(crate) fn allows(&mut self, team: &TeamId, need: &Amount) -> bool {
+        let Some(slice) = self.slice(team) else { return true };
+        let wanted = self.used(team).plus(need);
+        if slice.covers(&wanted.plus(&self.unknown)) {
+            return true;
+        }
+        let entry = self.needs.entry(team.clone()).or_default();
+        *entry = entry.max(&wanted);
+        false
+    }
+
+    /// Notes that the team uses more.
+    pub(crate) fn take(&mut self, team: &TeamId, amount: &Amount) {
+        let used = self.used.entry(team.clone()).or_default();
+        *used = used.plus(amount);
+    }
+
+    /// Notes that the team uses less.
+    pub(crate) fn give(&mut self, team: &TeamId, amount: &Amount) {
+        if let Some(used) = self.used.get_mut(team) {
+            *used = used.minus(amount);
+        }
+    }
+
+    /// Teams that use more than their slice, which happens after a limit was lowered.
+    pub(crate) fn exceeded(&self) -> Vec<TeamId> {
+        let over = |team: &TeamId, used: &Amount| {
+            let known = self.buckets[bucket_of(team)].known;
+            known && self.slice(team).is_some_and(|slice| !slice.covers(used))
+        };
+        self.used
+            .iter()
+            .filter(|(team, used)| over(team, used))
+            .map(|(team, _)| team.clone())
+            .collect()
+    }
+
+    /// The calls to make at this time, with the number of their bucket.
+    pub(crate) fn poll(&mut self, now: Millis) -> Vec<(usize, StoreCall)> {
+        let teams: BTreeSet<usize> = self.limits.keys().map(bucket_of).collect();
+        let needed: BTreeSet<usize> = self.needs.keys().map(bucket_of).collect();
+        let mut calls = Vec::new();
+        for index in teams {
+            let wanted_elsewhere = self.has_surplus_wanted(index);
+            let bucket = &mut self.buckets[index];
+            let age = bucket.read_at.map(|at| now.since(at));
+            let due_after = if needed.contains(&index) || bucket.urgent {
+                MIN_READ_GAP_MS
+            } else if wanted_elsewhere {
+                WANTED_REFRESH_MS
+            } else {
+                REFRESH_MS
+            };
+            if bucket.stage == Stage::Idle && age.is_none_or(|age| age >= due_after) {
+                bucket.stage = Stage::Reading;
+                bucket.read_at = Some(now);
+                calls.push((index, StoreCall::Get { key: key_of(index) }));
+            }
+        }
+        calls
+    }
+
+    fn has_surplus_wanted(&self, index: usize) -> bool {
+        let teams = &self.buckets[index].doc.teams;
+        teams.values().any(|team| team.wanted_by.iter().any(|pool| *pool != self.pool))
+    }
+
+    /// Takes an answer for a bucket. Returns the next call.
+    pub(crate) fn answer(
+        &mut self,
+        index: usize,
+        answer: Result<StoreAnswer, StoreFailure>,
+    ) -> Option<StoreCall> {
+        let bucket = &mut self.buckets[index];
+        match (bucket.stage, answer) {
+            (Stage::Reading, Ok(StoreAnswer::Missing)) => {
+                bucket.version = 0;
+                bucket.doc = BucketDoc::default();
+                self.propose(index)
+            }
+            (Stage::Reading, Ok(StoreAnswer::Found(version, bytes))) => {
+                let Ok(doc) = decode(&bytes) else {
+                    bucket.stage = Stage::Idle;
+                    return None;
+                };
+                bucket.version = version;
+                bucket.doc = doc;
+                self.propose(index)
+            }
+            (Stage::Writing, Ok(StoreAnswer::Swapped(version))) => {
+                bucket.version = version;
+                bucket.doc = std::mem::take(&mut bucket.proposed);
+                bucket.stage = Stage::Idle;
+                self.adopt(index);
+                None
+            }
+            // A write without an answer may have changed the slice: the next read tells. Until then
+            // the smaller of both holds, which `propose` has set already.
+            _ => {
+                bucket.stage = Stage::Idle;
+                bucket.urgent = true;
+                None
+            }
+        }
+    }
+
+    /// Computes the document that this pool wants and writes it if it differs.
+    fn propose(&mut self, index: usize) -> Option<StoreCall> {
+        let mut proposed = self.buckets[index].doc.clone();
+        proposed.teams.retain(|team, _| self.limits.contains_key(team));
+        let teams: Vec<TeamId> =
+            self.limits.keys().filter(|team| bucket_of(team) == index).cloned().collect();
+        for team in &teams {
+            let entry = proposed.teams.entry(team.clone()).or_default();
+            self.propose_team(team, entry);
+        }
+        // What is given back is given up here before anyone else can take it.
+        for team in &teams {
+            let new_slice =
+                proposed.teams.get(team).and_then(|entry| entry.slices.get(&self.pool)).copied();
+            let slice = self.slices.entry(team.clone()).or_default();
+            *slice = slice.min(&new_slice.unwrap_or_default());
+        }
+        let bucket = &mut self.buckets[index];
+        bucket.urgent = false;
+        if proposed == bucket.doc {
+            bucket.stage = Stage::Idle;
+            self.adopt(index);
+            return None;
+        }
+        let value = encode(&proposed);
+        bucket.proposed = proposed;
+        bucket.stage = Stage::Writing;
+        Some(StoreCall::Swap { key: key_of(index), expected: bucket.version, value })
+    }
+
+    fn propose_team(&self, team: &TeamId, entry: &mut TeamSlices) {
+        let limit = self.limits[team];
+        scale_to(entry, &limit);
+        let others = entry
+            .slices
+            .iter()
+            .filter(|(pool, _)| **pool != self.pool)
+            .fold(Amount::default(), |sum, (_, slice)| sum.plus(slice));
+        let available = limit.minus(&others);
+        let used = self.used(team).plus(&self.unknown);
+        let current = entry.slices.get(&self.pool).copied().unwrap_or_default();
+        let wanted_elsewhere = entry.wanted_by.iter().any(|pool| *pool != self.pool);
+        let slice = match self.needs.get(team) {
+            Some(need) => {
+                let chunk = if wanted_elsewhere { Amount::default() } else { chunk_of(&limit) };
+                let mine = need.plus(&chunk).max(&current.min(&used.plus(&chunk))).min(&available);
+                if mine.covers(&need.min(&limit)) {
+                    entry.wanted_by.remove(&self.pool);
+                } else {
+                    entry.wanted_by.insert(self.pool.clone());
+                }
+                mine
+            }
+            None => {
+                entry.wanted_by.remove(&self.pool);
+                let kept = if wanted_elsewhere { used } else { used.plus(&chunk_of(&limit)) };
+                current.min(&kept)
+            }
+        };
+        if slice == Amount::default() {
+            entry.slices.remove(&self.pool);
+        } else {
+            entry.slices.insert(self.pool.clone(), slice.min(&available));
+        }
+    }
+
+    /// Takes over the slices of a document that is confirmed to stand in the key-value service.
+    fn adopt(&mut self, index: usize) {
+        self.buckets[index].known = true;
+        let doc = &self.buckets[index].doc;
+        for team in self.limits.keys().filter(|team| bucket_of(team) == index) {
+            let slice = doc.teams.get(team).and_then(|entry| entry.slices.get(&self.pool)).copied();
+            self.slices.insert(team.clone(), slice.unwrap_or_default());
+            self.needs.remove(team);
+        }
+    }
+}
+
+/// Scales all slices down evenly where their sum exceeds the limit.
+fn scale_to(entry: &mut TeamSlices, limit: &Amount) {
+    let sum = entry.slices.values().fold(Amount::default(), |sum, slice| sum.plus(slice));
+    if limit.covers(&sum) {
+        return;
+    }
+    for slice in entry.slices.values_mut() {
+        let parts = std::array::from_fn(|part| {
+            let (own, all, most) = (slice.parts()[part], sum.parts()[part], limit.parts()[part]);
+            if all <= most { own } else { scale(own, most, all) }
+        });
+        *slice = Amount::from_parts(parts);
+    }
+}
+
+fn scale(value: u64, numerator: u64, denominator: u64) -> u64 {
+    let scaled = u128::from(value) * u128::from(numerator) / u128::from(denominator.max(1));
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
+
+/// What a pool asks for beyond its need. Parts without a limit are taken whole: they need no asking.
+fn chunk_of(limit: &Amount) -> Amount {
+    let part =
+        |bound: u64| if bound == u64::MAX { u64::MAX / 1024 } else { bound * CHUNK_PERCENT / 100 };
+    Amount::from_parts(limit.parts().map(part))
+}
+
+fn bucket_of(team: &TeamId) -> usize {
+    usize::try_from(stable_hash(&[team.as_str().as_bytes()]) % BUCKETS).unwrap_or(0)
+}
+
+fn key_of(index: usize) -> CompactString {
+    CompactString::from(format!("limits/{index}"))
+}
+
+fn encode(doc: &BucketDoc) -> Vec<u8> {
+    // The types hold nothing that the format cannot express.
+    postcard::to_stdvec(doc).unwrap_or_default()
+}
+
+fn decode(bytes: &[u8]) -> errors::Result<BucketDoc> {
+    postcard::from_bytes(bytes).map_err(|error| Error::Codec(error.to_string()))
+}
--- /dev/null
+++ b/components/pool/src/place.rs
@@ -0,0 +1,252 @@
+//! Chooses which waiting task starts next, and where.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+
+use placement::Need;
+use types::{JobId, JobKind, Millis, Priority, Resources, TeamId, WorkerId};
+
+use crate::jobs::Blocked;
+use crate::limits::Amount;
+use crate::pool::Pool;
+
+/// Jobs of one team that are tried before the next team is.
+const LOOKAHEAD: usize = 4;
+/// Tasks placed in one step. More wait for the next step, so that events are not held up.
+const TASKS_PER_STEP: usize = 512;
+/// Time after which workers are kept for a gang that does not fit.
+const RESERVE_AFTER_MS: Millis = Millis(5_000);
+/// Longest time for which workers are kept for a gang.
+const RESERVE_FOR_MS: Millis = Millis(600_000);
+
+/// Workers that are kept for a gang.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    pub(crate) job: JobId,
+    pub(crate) workers: BTreeSet<WorkerId>,
+    pub(crate) since: Millis,
+}
+
+/// Needs that did not fit in the present round, so that larger ones need not be tried.
+type Misfits = Vec<Resources>;
+
+impl Pool {
+    /// Places waiting tasks until nothing more fits.
+    pub(crate) fn place_jobs(&mut self, now: Millis) {
+        if !self.needs_placing || self.queue.is_empty() {
+            return;
+        }
+        self.needs_placing = false;
+        self.drop_stale_reservation(now);
+        let mut budget = TASKS_PER_STEP;
+        for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
+            self.place_priority(now, priority, &mut budget);
+        }
+    }
+
+    fn place_priority(&mut self, now: Millis, priority: Priority, budget: &mut usize) {
+        let teams = self.queue.teams(priority);
+        let mut order: BinaryHeap<Reverse<(u64, TeamId)>> =
+            teams.into_iter().map(|team| Reverse((self.shares.score(&team), team))).collect();
+        let mut misfits = Misfits::new();
+        while let Some(Reverse((_, team))) = order.pop() {
+            if *budget == 0 {
+                self.needs_placing = true;
+                return;
+            }
+            let placed = self.place_next_of(now, priority, &team, &mut misfits);
+            if placed > 0 {
+                *budget = budget.saturating_sub(placed);
+                order.push(Reverse((self.shares.score(&team), team)));
+            }
+        }
+    }
+
+    /// Places the next task or gang of a team. Returns how many tasks were placed.
+    fn place_next_of(
+        &mut self,
+        now: Millis,
+        priority: Priority,
+        team: &TeamId,
+        misfits: &mut Misfits,
+    ) -> usize {
+        for id in self.queue.first(priority, team, LOOKAHEAD) {
+            let is_gang = self.jobs.get(&id).is_some_and(|job| job.spec.kind == JobKind::Gang);
+            let placed =
+                if is_gang { self.place_gang(now, &id) } else { self.place_one(now, &id, misfits) };
+            if placed > 0 {
+                return placed;
+            }
+        }
+        0
+    }
+
+    fn place_one(&mut self, now: Millis, id: &JobId, misfits: &mut Misfits) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let Some(index) = job.waiting.first().copied() else { return 0 };
+        let need = job.spec.per_task;
+        let team = job.spec.team.clone();
+        let is_urgent = job.spec.priority == Priority::Urgent;
+        if !self.limits.allows(&team, &Amount::of_resources(need)) {
+            self.set_blocked(id, Blocked::Limit);
+            return 0;
+        }
+        let known_misfit = misfits.iter().any(|misfit| need.holds(misfit));
+        let found = if known_misfit { None } else { self.find_worker(id) };
+        let Some(worker) = found else {
+            if !known_misfit {
+                misfits.push(need);
+            }
+            let could_fit = known_misfit || self.index.could_hold(&need);
+            self.set_blocked(id, if could_fit { Blocked::NoRoom } else { Blocked::NeverFits });
+            if is_urgent {
+                self.preempt_for(now, id);
+            }
+            return 0;
+        };
+        self.place_task(now, id, index, &worker);
+        1
+    }
+
+    /// Finds a worker for a job's next task, if possible one on which the job did not fail yet.
+    fn find_worker(&self, id: &JobId) -> Option<WorkerId> {
+        let job = self.jobs.get(id)?;
+        let is_urgent = job.spec.priority == Priority::Urgent;
+        let headroom = if is_urgent { 0 } else { self.rules.headroom_percent(&self.settings.pool) };
+        let nowhere = BTreeSet::new();
+        let need = Need {
+            resources: &job.spec.per_task,
+            spread: job.spec.spread,
+            by_rack: &job.by_rack,
+            by_worker: &job.by_worker,
+            headroom_percent: u64::from(headroom),
+            avoid: &job.failed_on,
+        };
+        let found = self.index.find(&need);
+        found.or_else(|| self.index.find(&Need { avoid: &nowhere, ..need })).cloned()
+    }
+
+    fn set_blocked(&mut self, id: &JobId, blocked: Blocked) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.blocked = Some(blocked);
+        }
+    }
+
+    /// Places all waiting tasks of a gang, or none.
+    fn place_gang(&mut self, now: Millis, id: &JobId) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let waiting: Vec<u32> = job.waiting.iter().copied().collect();
+        let total = job.spec.per_task.times(waiting.len() as u64);
+        let team = job.spec.team.clone();
+        if !self.limits.allows(&team, &Amount::of_resources(total)) {
+            self.set_blocked(id, Blocked::Limit);
+            return 0;
+        }
+        let holds_reservation =
+            self.reservation.as_ref().is_some_and(|reservation| reservation.job == *id);
+        if holds_reservation {
+            self.set_reserved(false);
+        }
+        let Some(workers) = self.find_gang_workers(id, waiting.len()) else {
+            self.set_blocked(id, Blocked::NoRoom);
+            if holds_reservation {
+                self.set_reserved(true);
+            } else {
+                self.reserve_for(now, id);
+            }
+            return 0;
+        };
+        if holds_reservation {
+            self.reservation = None;
+        }
+        for (index, worker) in waiting.iter().zip(&workers) {
+            self.place_task(now, id, *index, worker);
+        }
+        waiting.len()
+    }
+
+    /// Finds workers for `count` tasks of a job at once. Leaves the index as it was.
+    fn find_gang_workers(&mut self, id: &JobId, count: usize) -> Option<Vec<WorkerId>> {
+        let need = self.jobs.get(id)?.spec.per_task;
+        let mut workers = Vec::with_capacity(count);
+        while workers.len() < count {
+            let Some(worker) = self.find_worker(id) else { break };
+            if !self.index.take(&worker, &need) {
+                break;
+            }
+            workers.push(worker);
+        }
+        for worker in &workers {
+            self.index.give(worker, &need);
+        }
+        (workers.len() == count).then_some(workers)
+    }
+
+    /// Keeps enough workers for a gang that has waited for long, so that smaller work does not
+    /// take each room that becomes free. One gang at a time has workers kept for it.
+    fn reserve_for(&mut self, now: Millis, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let since = *job.reserved_since.get_or_insert(now);
+        if self.reservation.is_some() || now.since(since) < RESERVE_AFTER_MS {
+            return;
+        }
+        let need = job.spec.per_task;
+        let mut missing = job.waiting.len() as u64;
+        let mut candidates: Vec<(u64, WorkerId)> = self
+            .workers
+            .by_id
+            .iter()
+            .filter(|(_, worker)| worker.is_open())
+            .map(|(id, worker)| (room_without_batch(worker, &need), id.clone()))
+            .filter(|(tasks, _)| *tasks > 0)
+            .collect();
+        candidates.sort_by_key(|(tasks, _)| Reverse(*tasks));
+        let mut workers = BTreeSet::new();
+        for (tasks, worker) in candidates {
+            if missing == 0 {
+                break;
+            }
+            missing = missing.saturating_sub(tasks);
+            workers.insert(worker);
+        }
+        if missing == 0 {
+            self.reservation = Some(Reservation { job: id.clone(), workers, since: now });
+            self.set_reserved(true);
+        }
+    }
+
+    fn set_reserved(&mut self, reserved: bool) {
+        let Some(reservation) = &self.reservation else { return };
+        for id in reservation.workers.clone() {
+            if let Some(worker) = self.workers.by_id.get_mut(&id) {
+                worker.reserved = reserved;
+            }
+            self.update_open(&id);
+        }
+    }
+
+    fn drop_stale_reservation(&mut self, now: Millis) {
+        let Some(reservation) = &self.reservation else { return };
+        let waits = self.jobs.get(&reservation.job).is_some_and(|job| !job.waiting.is_empty());
+        if waits && now.since(reservation.since) < RESERVE_FOR_MS {
+            return;
+        }
+        self.set_reserved(false);
+        if let Some(job) = self.reservation.take().and_then(|old| self.jobs.get_mut(&old.job)) {
+            job.reserved_since = None;
+        }
+    }
+}
+
+/// How many tasks a worker could hold once its tasks with an end have ended.
+fn room_without_batch(worker: &crate::workers::Worker, need: &Resources) -> u64 {
+    let services = worker.tasks.values().filter(|task| task.run_ms == Millis(0));
+    let kept = services.fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
+    let mut room = worker.info.capacity.minus(&kept);
+    let mut tasks = 0;
+    while room.holds(need) && tasks < u64::from(u16::MAX) {
+        room = room.minus(need);
+        tasks += 1;
+    }
+    tasks
+}
--- /dev/null
+++ b/components/pool/src/preempt.rs
@@ -0,0 +1,156 @@
+//! Stops running tasks: for urgent work in a full pool, and where a limit was lowered.
+
+use timeline::EventKind;
+use types::{JobId, Millis, Resources, TaskId, TeamId, WorkerId};
+
+use crate::limits::Amount;
+use crate::pool::Pool;
+use crate::workers::{PlacedTask, Worker};
+
+/// How often the same task may be preempted.
+const MAX_PREEMPTIONS: u32 = 2;
+/// Time in which preempted tasks should have made room before more are preempted for the same job.
+const PREEMPT_AGAIN_MS: Millis = Millis(2_000);
+/// Workers on which room is made at once for one job.
+const WORKERS_AT_ONCE: usize = 16;
+
+/// Tasks to stop on one worker.
+struct Victims {
+    worker: WorkerId,
+    tasks: Vec<TaskId>,
+    /// Work thrown away, in core-milliseconds.
+    cost: u64,
+}
+
+impl Pool {
+    /// Makes room for the waiting tasks of an urgent job by checkpointing the cheapest tasks.
+    pub(crate) fn preempt_for(&mut self, now: Millis, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.reserved_since.is_some_and(|asked_at| now.since(asked_at) < PREEMPT_AGAIN_MS) {
+            return;
+        }
+        job.reserved_since = Some(now);
+        let need = job.spec.per_task;
+        let count = job.waiting.len().min(WORKERS_AT_ONCE);
+        let mut options: Vec<Victims> = self
+            .workers
+            .by_id
+            .iter()
+            .filter_map(|(id, worker)| self.victims_on(now, id, worker, &need))
+            .collect();
+        options.sort_by_key(|victims| victims.cost);
+        for victims in options.into_iter().take(count) {
+            self.checkpoint(&victims);
+        }
+    }
+
+    fn victims_on(
+        &self,
+        now: Millis,
+        id: &WorkerId,
+        worker: &Worker,
+        need: &Resources,
+    ) -> Option<Victims> {
+        if !worker.is_open() {
+            return None;
+        }
+        let mut free = self.index.get(id)?.free;
+        let mut candidates: Vec<(u64, &TaskId, &PlacedTask)> = worker
+            .tasks
+            .iter()
+            .filter(|(task, placed)| self.may_preempt(task, placed))
+            .map(|(task, placed)| (waste(now, placed), task, placed))
+            .collect();
+        candidates.sort_by_key(|(cost, _, placed)| (std::cmp::Reverse(placed.priority), *cost));
+        let mut victims = Victims { worker: id.clone(), tasks: Vec::new(), cost: 0 };
+        for (cost, task, placed) in candidates {
+            if free.holds(need) {
+                break;
+            }
+            free = free.plus(&placed.resources);
+            victims.cost += cost;
+            victims.tasks.push(task.clone());
+        }
+        (free.holds(need) && !victims.tasks.is_empty()).then_some(victims)
+    }
+
+    fn may_preempt(&self, task: &TaskId, placed: &PlacedTask) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let preempted = job.preemptions.get(&task.index).copied().unwrap_or(0);
+        let is_less_urgent = placed.priority > types::Priority::Urgent;
+        let has_end = placed.run_ms > Millis(0);
+        is_less_urgent
+            && has_end
+            && job.spec.idempotent
+            && placed.stopping.is_none()
+            && preempted < MAX_PREEMPTIONS
+    }
+
+    fn checkpoint(&mut self, victims: &Victims) {
+        for task in &victims.tasks {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                *job.preemptions.entry(task.index).or_default() += 1;
+            }
+            self.stop_task(&victims.worker, task);
+            self.record_event(EventKind::TaskPreempted, &task.to_string(), victims.worker.as_str());
+        }
+    }
+
+    fn stop_task(&mut self, worker: &WorkerId, task: &TaskId) {
+        let placed =
+            self.workers.by_id.get_mut(worker).and_then(|worker| worker.tasks.get_mut(task));
+        if let Some(placed) = placed {
+            placed.stopping = Some(true);
+        }
+    }
+
+    /// Stops the newest tasks of teams that use more than their slice of a lowered limit.
+    pub(crate) fn stop_over_limits(&mut self) {
+        for team in self.limits.exceeded() {
+            self.stop_excess(&team);
+        }
+    }
+
+    fn stop_excess(&mut self, team: &TeamId) {
+        let Some(slice) = self.limits.slice(team) else { return };
+        let mut running: Vec<(bool, Millis, WorkerId, TaskId, Resources, bool)> = Vec::new();
+        for (id, worker) in &self.workers.by_id {
+            for (task, placed) in worker.tasks.iter().filter(|(_, placed)| placed.team == *team) {
+                let idempotent = self.jobs.get(&task.job).is_some_and(|job| job.spec.idempotent);
+                let stopping = placed.stopping.is_some();
+                let entry = (
+                    idempotent,
+                    placed.placed_at,
+                    id.clone(),
+                    task.clone(),
+                    placed.resources,
+                    stopping,
+                );
+                running.push(entry);
+            }
+        }
+        let mut used = self.limits.used(team);
+        for (.., resources, _) in running.iter().filter(|(.., stopping)| *stopping) {
+            used = used.minus(&Amount::of_resources(*resources));
+        }
+        // Idempotent tasks go first, and among them the newest, which lose the least work.
+        running.sort_by_key(|(idempotent, placed_at, ..)| {
+            std::cmp::Reverse((*idempotent, *placed_at))
+        });
+        for (_, _, worker, task, resources, stopping) in running {
+            let excess = used.resources.minus(&slice.resources);
+            if excess == Resources::ZERO {
+                return;
+            }
+            if !stopping {
+                self.stop_task(&worker, &task);
+                used = used.minus(&Amount::of_resources(resources));
+            }
+        }
+    }
+}
+
+/// Work that is thrown away if a task is stopped now, in core-milliseconds.
+fn waste(now: Millis, placed: &PlacedTask) -> u64 {
+    now.since(placed.placed_at).0 * placed.resources.cpu_milli / 1000
+}
--- /dev/null
+++ b/components/pool/src/view.rs
@@ -0,0 +1,331 @@
+//! Jobs and status: commands that change jobs, and queries that only look.
+
+use types::{
+    CallId, JobCommand, JobId, JobKind, JobQuery, JobSpec, JobState, JobView, Message, Millis,
+    NotRunReason, Outcome, PoolStatus, RunnerStatus, TeamId, TeamStatus, WorkerStatus,
+};
+
+use crate::event::ReplyTo;
+use crate::jobs::{Blocked, Job};
+use crate::limits::Amount;
+use crate::pool::{FollowUp, Pool, Tenure};
+use crate::record::{DurableJob, EndedJob, Record};
+
+/// Jobs of a pool that may be live at the same time. Keeps its durable state below the largest value
+/// that the key-value service holds.
+const MAX_LIVE_JOBS: usize = 4_000;
+/// Most tasks of one job.
+const MAX_TASKS: u32 = 10_000;
+/// Records that may wait for a commit.
+const MAX_PENDING_RECORDS: usize = 20_000;
+/// Jobs returned by one query.
+const MAX_LISTED: usize = 1_000;
+/// When a caller may ask again about a job whose acceptance is being committed.
+const COMMITTING_RETRY_MS: Millis = Millis(300);
+
+impl Pool {
+    pub(crate) fn command_job(
+        &mut self,
+        now: Millis,
+        from: ReplyTo,
+        call: CallId,
+        command: JobCommand,
+    ) {
+        if self.tenure != Tenure::Owner {
+            let outcome = self.refusal(NotRunReason::NoOwner, Millis(0));
+            self.send(from.address, Message::JobOutcome(call, outcome));
+            return;
+        }
+        let settled = match command {
+            JobCommand::Submit(spec) => self.submit(now, &from, call, spec),
+            JobCommand::Cancel(job, team) => self.cancel(&from, call, &job, &team),
+        };
+        if let Some(outcome) = settled {
+            self.send(from.address, Message::JobOutcome(call, outcome));
+        }
+    }
+
+    /// Accepts a job. Returns the outcome unless it follows after a commit.
+    fn submit(
+        &mut self,
+        now: Millis,
+        from: &ReplyTo,
+        call: CallId,
+        spec: JobSpec,
+    ) -> Option<Outcome> {
+        if let Some(outcome) = self.submitted_before(&spec) {
+            return Some(outcome);
+        }
+        if let Some(reason) = self.never_runs(&spec) {
+            return Some(Outcome::not_run(reason, Millis(0)));
+        }
+        if self.journal.store_failing() {
+            return Some(self.refusal(NotRunReason::StoreUnavailable, Millis(1_000)));
+        }
+        let full =
+            self.jobs.len() >= MAX_LIVE_JOBS || self.journal.pending_len() >= MAX_PENDING_RECORDS;
+        if full {
+            return Some(self.refusal(NotRunReason::QueueFull, Millis(5_000)));
+        }
+        let id = spec.id.clone();
+        let place = self.jobs.next_place();
+        self.jobs.insert(Job::new(spec.clone(), place, now));
+        self.append(Record::JobAccepted(spec), Some(FollowUp::Accept(from.address, call, id)));
+        None
+    }
+
+    /// The outcome of a job that was submitted before under the same id.
+    fn submitted_before(&self, spec: &JobSpec) -> Option<Outcome> {
+        let state = self.journal.state();
+        let durable = state.jobs.get(&spec.id).map(|job| &job.spec);
+        let ended = state.ended_job(&spec.id).map(|job| &job.spec);
+        if let Some(known) = durable.or(ended) {
+            let same = known == spec;
+            let outcome = if same {
+                Outcome::Accepted(spec.id.clone())
+            } else {
+                Outcome::not_run(NotRunReason::IdReused, Millis(0))
+            };
+            return Some(outcome);
+        }
+        let committing = self.jobs.get(&spec.id).is_some();
+        committing.then_some(Outcome::InProgress { retry_after_ms: COMMITTING_RETRY_MS })
+    }
+
+    /// Why a job can never run here, if it cannot.
+    fn never_runs(&self, spec: &JobSpec) -> Option<NotRunReason> {
+        if spec.tasks == 0
+            || spec.tasks > MAX_TASKS
+            || !self.rules.allows(&spec.queue, &self.settings.domain)
+        {
+            return Some(NotRunReason::NeverFits);
+        }
+        if self.index.iter().next().is_none() {
+            return Some(NotRunReason::NoBackend);
+        }
+        let is_gang = spec.kind == JobKind::Gang;
+        let fits = if is_gang {
+            self.index.could_hold_tasks(&spec.per_task) >= u64::from(spec.tasks)
+        } else {
+            self.index.could_hold(&spec.per_task)
+        };
+        if !fits {
+            return Some(NotRunReason::NeverFits);
+        }
+        let at_once =
+            if is_gang { spec.per_task.times(u64::from(spec.tasks)) } else { spec.per_task };
+        let limit = self.limits.limit(&spec.team)?;
+        (!limit.covers(&Amount::of_resources(at_once))).then_some(NotRunReason::OverLimit)
+    }
+
+    fn cancel(
+        &mut self,
+        from: &ReplyTo,
+        call: CallId,
+        id: &JobId,
+        team: &TeamId,
+    ) -> Option<Outcome> {
+        let Some(job) = self.jobs.get(id) else {
+            let ended = self.journal.state().ended_job(id);
+            return Some(cancel_outcome_of_ended(ended, team));
+        };
+        if job.spec.team != *team {
+            return Some(Outcome::not_run(NotRunReason::WrongTeam, Millis(0)));
+        }
+        let place = (job.place, id.clone());
+        let (priority, team) = (job.spec.priority, job.spec.team.clone());
+        self.queue.remove(priority, &team, &place);
+        if let Some(job) = self.jobs.remove(id) {
+            self.orphan_tasks(&job);
+        }
+        self.record_event(timeline::EventKind::JobEnded, id.as_str(), JobState::Cancelled.as_str());
+        let reply = FollowUp::Reply(from.address, call, Outcome::Cancelled(id.clone()));
+        self.append(Record::JobCancelled(id.clone()), Some(reply));
+        None
+    }
+
+    pub(crate) fn query_jobs(
+        &mut self,
+        now: Millis,
+        from: &ReplyTo,
+        call: CallId,
+        query: &JobQuery,
+    ) {
+        let views = match query {
+            JobQuery::One(id) => self.view_job(now, id).into_iter().collect(),
+            JobQuery::OfTeam(_, team) => self.view_team(now, team),
+        };
+        self.send(from.address, Message::Jobs(call, views));
+    }
+
+    fn view_job(&self, now: Millis, id: &JobId) -> Option<JobView> {
+        if let Some(job) = self.jobs.get(id) {
+            return Some(self.view_live(now, job));
+        }
+        let state = self.journal.state();
+        let ended = state.ended_job(id).map(|job| self.view_ended(job));
+        ended.or_else(|| state.jobs.get(id).map(|job| self.view_committing(job)))
+    }
+
+    fn view_team(&self, now: Millis, team: &TeamId) -> Vec<JobView> {
+        let live = self
+            .jobs
+            .iter()
+            .filter(|job| job.spec.team == *team)
+            .map(|job| self.view_live(now, job));
+        let ended = self.journal.state().ended_jobs.iter().rev();
+        let ended = ended.filter(|job| job.spec.team == *team).map(|job| self.view_ended(job));
+        live.chain(ended).take(MAX_LISTED).collect()
+    }
+
+    fn view_live(&self, now: Millis, job: &Job) -> JobView {
+        JobView {
+            spec: job.spec.clone(),
+            pool: self.settings.pool.clone(),
+            state: job.state(),
+            counts: job.counts,
+            age_ms: now.since(job.accepted_at),
+            explanation: self.explain(job),
+        }
+    }
+
+    fn view_ended(&self, job: &EndedJob) -> JobView {
+        JobView {
+            spec: job.spec.clone(),
+            pool: self.settings.pool.clone(),
+            state: job.state,
+            counts: job.counts,
+            age_ms: Millis(0),
+            explanation: String::new(),
+        }
+    }
+
+    /// A job whose last change is being committed.
+    fn view_committing(&self, job: &DurableJob) -> JobView {
+        JobView {
+            spec: job.spec.clone(),
+            pool: self.settings.pool.clone(),
+            state: JobState::Running,
+            counts: Default::default(),
+            age_ms: Millis(0),
+            explanation: "the end of the job is being written".to_owned(),
+        }
+    }
+
+    /// Why a job's next task waits, and the nearest condition that would start it.
+    fn explain(&self, job: &Job) -> String {
+        if job.waiting.is_empty() {
+            return String::new();
+        }
+        let need = &job.spec.per_task;
+        match job.blocked {
+            None => "its turn has not come yet".to_owned(),
+            Some(Blocked::Recovering) => format!(
+                "the pool has a new owner; it starts once {} workers are attached or their leases lapsed",
+                self.workers.unresolved.len()
+            ),
+            Some(Blocked::NeverFits) => {
+                format!("no worker has {need} any more; it starts once one is added")
+            }
+            Some(Blocked::Limit) => self.explain_limit(job),
+            Some(Blocked::NoRoom) => self.explain_room(job),
+        }
+    }
+
+    fn explain_limit(&self, job: &Job) -> String {
+        let team = &job.spec.team;
+        let used = self.limits.used(team);
+        let slice = self.limits.slice(team).unwrap_or_default();
+        format!(
+            "team {team} uses {} of the {} that its upper limit allows in this pool; \
+             it starts once the team's tasks end here or elsewhere",
+            used.resources, slice.resources
+        )
+    }
+
+    fn explain_room(&self, job: &Job) -> String {
+        let need = &job.spec.per_task;
+        let gang = if job.spec.kind == JobKind::Gang { job.waiting.len() as u64 } else { 1 };
+        let roomiest = self
+            .index
+            .iter()
+            .filter(|(_, slot)| slot.open)
+            .max_by_key(|(_, slot)| slot.free.cpu_milli);
+        match roomiest {
+            None => "no worker takes new tasks at the moment".to_owned(),
+            Some((id, slot)) => format!(
+                "{gang} times {need} must be free at once; the worker with the most free processors, {id}, has {} free",
+                slot.free
+            ),
+        }
+    }
+
+    /// The pool as shown to operators, if this process owns it.
+    pub fn status(&self) -> Option<PoolStatus> {
+        if !self.is_owner() {
+            return None;
+        }
+        Some(PoolStatus {
+            pool: self.settings.pool.clone(),
+            owner: self.settings.me.clone(),
+            epoch: self.journal.epoch(),
+            workers: self.worker_status(),
+            runners: self.runner_status(),
+            teams: self.team_status(),
+            live_jobs: self.jobs.len() as u32,
+            waiting_requests: self.requests.waiting() as u32,
+        })
+    }
+
+    fn worker_status(&self) -> Vec<WorkerStatus> {
+        let status = |worker: &crate::workers::Worker| WorkerStatus {
+            worker: worker.info.worker.clone(),
+            state: worker.state().into(),
+            capacity: worker.info.capacity,
+            granted: worker
+                .tasks
+                .values()
+                .fold(Default::default(), |sum, task| task.resources.plus(&sum)),
+            tasks: worker.tasks.len() as u32,
+        };
+        self.workers.by_id.values().map(status).collect()
+    }
+
+    fn runner_status(&self) -> Vec<RunnerStatus> {
+        let status = |runner: &crate::runners::Runner| RunnerStatus {
+            runner: runner.info.runner.clone(),
+            state: runner.state_word().into(),
+            busy: runner.busy(),
+            window: runner.window(),
+            slots: runner.slots,
+        };
+        self.runners.by_id.values().map(status).collect()
+    }
+
+    fn team_status(&self) -> Vec<TeamStatus> {
+        let waiting = |team: &TeamId| -> u32 {
+            self.jobs
+                .iter()
+                .filter(|job| job.spec.team == *team)
+                .map(|job| job.counts.waiting)
+                .sum()
+        };
+        let status = |team: &config::TeamRule| TeamStatus {
+            team: team.name.clone(),
+            share: team.share,
+            running: self.shares.running(&team.name),
+            limit_slice: self.limits.slice(&team.name).map(|slice| slice.resources),
+            waiting_tasks: waiting(&team.name),
+        };
+        self.rules.teams().map(status).collect()
+    }
+}
+
+fn cancel_outcome_of_ended(ended: Option<&EndedJob>, team: &TeamId) -> Outcome {
+    match ended {
+        None => Outcome::not_run(NotRunReason::UnknownJob, Millis(0)),
+        Some(job) if job.spec.team != *team => Outcome::not_run(NotRunReason::WrongTeam, Millis(0)),
+        Some(job) if job.state == JobState::Cancelled => Outcome::Cancelled(job.spec.id.clone()),
+        Some(_) => Outcome::not_run(NotRunReason::AlreadyEnded, Millis(0)),
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/main.rs
@@ -0,0 +1,18 @@
+//! `carobsill-scheduler`: owns pools and decides where work runs.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use node::ProcessArgs;
+
+/// Owns pools and decides where work runs. One runs on each entry VM.
+#[derive(Debug, Parser)]
+#[command(name = "carobsill-scheduler", version)]
+struct Cli {
+    #[command(flatten)]
+    process: ProcessArgs,
+}
+
+fn main() -> ExitCode {
+    Cli::parse().process.run("carobsill-scheduler", scheduler::run)
+}
--- /dev/null
+++ b/components/scheduler/src/store_lane.rs
@@ -0,0 +1,41 @@
+//! Calls to the key-value service for pools.
+
+use errors::Error;
+use kv::Store;
+use libs::crossbeam_channel::Sender;
+use pool::{StoreAnswer, StoreCall, StoreFailure};
+use types::PoolId;
+
+use crate::input::Input;
+
+/// A call of a pool.
+pub(crate) struct StoreJob {
+    pub(crate) pool: PoolId,
+    pub(crate) token: u64,
+    pub(crate) call: StoreCall,
+}
+
+/// Makes a call and passes its answer on.
+pub(crate) fn call_store(job: StoreJob, inputs: &Sender<Input>, store: &dyn Store) {
+    let result = match &job.call {
+        StoreCall::Get { key } => store.get(key).map(|found| match found {
+            Some(stored) => StoreAnswer::Found(stored.version, stored.value),
+            None => StoreAnswer::Missing,
+        }),
+        StoreCall::Swap { key, expected, value } => {
+            store.compare_and_swap(key, *expected, value).map(StoreAnswer::Swapped)
+        }
+        StoreCall::Delete { key } => store.delete(key).map(|()| StoreAnswer::Deleted),
+    };
+    let answer = result.map_err(|error| store_failure(&error));
+    // Fails only after the decisions thread has ended.
+    inputs.send(Input::Store(job.pool, job.token, answer)).ok();
+}
+
+fn store_failure(error: &Error) -> StoreFailure {
+    match error {
+        Error::VersionConflict(_) => StoreFailure::Conflict,
+        Error::Net(_) | Error::OverBudget => StoreFailure::NotSent,
+        _ => StoreFailure::Unanswered,
+    }
+}
--- /dev/null
+++ b/components/standin/src/main.rs
@@ -0,0 +1,17 @@
+//! `carobsill-standin`: stand-ins for development and tests.
+
+mod cli;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    match cli::run(cli::Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("carobsill-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/components/standin/src/worker.rs
@@ -0,0 +1,176 @@
+//! A worker: runs tasks under a lease that ends on its own clock.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use types::{
+    Attempt, Epoch, FinishedTask, Millis, Resources, RunningTask, StartTask, SyncAnswer,
+    SyncRequest, TaskId, WorkerEnd,
+};
+
+use crate::truth::{Run, RunKind, Truth};
+
+struct Task {
+    attempt: Attempt,
+    resources: Resources,
+    /// When it ends by itself; none for services.
+    ends_at: Option<Millis>,
+    run: usize,
+}
+
+/// A worker.
+pub struct Worker {
+    name: String,
+    capacity: Resources,
+    incarnation: u64,
+    epoch: Epoch,
+    sequence: u64,
+    lease_until: Millis,
+    tasks: BTreeMap<TaskId, Task>,
+    finished: BTreeMap<TaskId, FinishedTask>,
+    /// Whether every task that starts fails at once.
+    pub fails_everything: bool,
+    truth: Arc<Truth>,
+}
+
+impl Worker {
+    /// A worker that runs nothing.
+    pub fn new(name: String, capacity: Resources, incarnation: u64, truth: Arc<Truth>) -> Self {
+        Self {
+            name,
+            capacity,
+            incarnation,
+            epoch: Epoch(0),
+            sequence: 0,
+            lease_until: Millis(0),
+            tasks: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            fails_everything: false,
+            truth,
+        }
+    }
+
+    /// Moves time on: tasks end by themselves, and all stop when the lease runs out.
+    pub fn advance(&mut self, now: Millis) {
+        let lapsed = now >= self.lease_until;
+        let ended: Vec<(TaskId, Millis, WorkerEnd)> = self
+            .tasks
+            .iter()
+            .filter_map(|(id, task)| {
+                let own_end = task.ends_at.filter(|at| *at <= now && *at <= self.lease_until);
+                let end = own_end.map(|at| (at, WorkerEnd::Done));
+                let (at, end) =
+                    end.or_else(|| lapsed.then_some((self.lease_until, WorkerEnd::Stopped)))?;
+                Some((id.clone(), at, end))
+            })
+            .collect();
+        for (task, at, end) in ended {
+            self.end_task(&task, at, end);
+        }
+    }
+
+    /// Stops everything without a trace, as a power cut does, and starts again.
+    pub fn restart(&mut self, now: Millis) {
+        for (_, task) in std::mem::take(&mut self.tasks) {
+            self.truth.end(task.run, now.0, false);
+        }
+        self.finished.clear();
+        self.incarnation += 1;
+        self.lease_until = Millis(0);
+        self.sequence = 0;
+    }
+
+    /// Answers a sync. None if its epoch is stale.
+    pub fn sync(&mut self, now: Millis, request: &SyncRequest) -> Option<SyncAnswer> {
+        self.advance(now);
+        if request.epoch < self.epoch {
+            return None;
+        }
+        if request.epoch > self.epoch {
+            self.epoch = request.epoch;
+            self.sequence = 0;
+        }
+        let is_newest = request.sequence > self.sequence;
+        self.sequence = self.sequence.max(request.sequence);
+        if is_newest && request.incarnation == self.incarnation {
+            self.apply(now, request);
+        }
+        Some(self.answer(now))
+    }
+
+    fn apply(&mut self, now: Millis, request: &SyncRequest) {
+        for task in &request.forget {
+            self.finished.remove(task);
+        }
+        if request.lease_until_ms > now {
+            self.lease_until = self.lease_until.max(request.lease_until_ms);
+        }
+        for stop in &request.stop {
+            if self.tasks.get(&stop.task).is_some_and(|task| task.attempt == stop.attempt) {
+                self.end_task(&stop.task, now, WorkerEnd::Stopped);
+            }
+        }
+        if now < self.lease_until {
+            for start in &request.start {
+                self.start_task(now, start);
+            }
+        }
+    }
+
+    fn start_task(&mut self, now: Millis, start: &StartTask) {
+        let known = self.tasks.get(&start.task).is_some_and(|task| task.attempt >= start.attempt)
+            || self
+                .finished
+                .get(&start.task)
+                .is_some_and(|finished| finished.attempt >= start.attempt);
+        if known {
+            return;
+        }
+        let used = self.tasks.values().fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
+        if !self.capacity.holds(&used.plus(&start.resources)) {
+            self.truth.overfilled(format!("{} was given {} at {now}", self.name, start.task));
+            self.finish(&start.task, start.attempt, WorkerEnd::Refused);
+            return;
+        }
+        let run = self.truth.start(Run {
+            kind: RunKind::Task,
+            id: start.task.to_string(),
+            attempt: start.attempt.0,
+            place: self.name.clone(),
+            started_ms: now.0,
+            ended_ms: None,
+            completed: false,
+        });
+        let ends_at = (start.run_ms > Millis(0)).then(|| now + start.run_ms);
+        let task = Task { attempt: start.attempt, resources: start.resources, ends_at, run };
+        self.tasks.insert(start.task.clone(), task);
+        if self.fails_everything {
+            self.end_task(&start.task, now, WorkerEnd::Failed);
+        }
+    }
+
+    fn end_task(&mut self, id: &TaskId, at: Millis, end: WorkerEnd) {
+        let Some(task) = self.tasks.remove(id) else { return };
+        self.truth.end(task.run, at.0, end == WorkerEnd::Done);
+        self.finish(id, task.attempt, end);
+    }
+
+    fn finish(&mut self, task: &TaskId, attempt: Attempt, end: WorkerEnd) {
+        self.finished.insert(task.clone(), FinishedTask { task: task.clone(), attempt, end });
+    }
+
+    fn answer(&self, now: Millis) -> SyncAnswer {
+        let running = self.tasks.iter().map(|(id, task)| RunningTask {
+            task: id.clone(),
+            attempt: task.attempt,
+            resources: task.resources,
+            used: task.resources,
+        });
+        SyncAnswer {
+            incarnation: self.incarnation,
+            clock_ms: now,
+            running: running.collect(),
+            finished: self.finished.values().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/components/testbed/src/settings.rs
@@ -0,0 +1,42 @@
+//! Settings files for deployments under test.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Addresses of what surrounds the processes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Surroundings {
+    pub(crate) kv: SocketAddr,
+    pub(crate) backends: SocketAddr,
+}
+
+/// Text of one process's settings.
+pub(crate) fn settings_text(
+    name: &str,
+    domain: &str,
+    listen: SocketAddr,
+    http: Option<SocketAddr>,
+    peers: &[SocketAddr],
+    around: Surroundings,
+    dir: &Path,
+) -> String {
+    let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+    let certs = dir.join("certs");
+    let http = http
+        .map(|listen| format!("http:\n  listen: \"{listen}\"\n  max_waiting: 512\n"))
+        .unwrap_or_default();
+    format!(
+        "process:\n  name: {name}\n  domain: {domain}\n  listen: \"{listen}\"\n  peers: [{peers}]\n\
+         tls:\n  ca: {certs}/ca.cert.pem\n  cert: {certs}/{name}.cert.pem\n  key: {certs}/{name}.key.pem\n\
+         kv:\n  url: http://{kv}\n\
+         platform:\n  vms_url: http://{backends}/vms\n\
+         {http}\
+         timing:\n  lease_ms: 4000\n\
+         timeline_path: {dir}/{name}.timeline\n",
+        peers = peers.join(", "),
+        certs = certs.display(),
+        kv = around.kv,
+        backends = around.backends,
+        dir = dir.display(),
+    )
+}
--- /dev/null
+++ b/components/types/src/lib.rs
@@ -0,0 +1,30 @@
+//! Types shared by all processes: ids, units, jobs, outcomes and the messages
+//! between carobsill's own processes.
+
+mod backend;
+mod hash;
+mod ids;
+mod job;
+mod message;
+mod outcome;
+mod stamp;
+mod units;
+
+pub use backend::{
+    BackendState, FinishedTask, RunnerInfo, RunnerReport, RunningTask, StartTask, StopTask,
+    SyncAnswer, SyncRequest, Vm, VmKind, WorkerEnd, WorkerInfo,
+};
+pub use hash::{rendezvous, stable_hash};
+pub use ids::{
+    Attempt, CallId, DomainId, Epoch, JobId, KeyId, NodeId, NodeName, PoolId, QueueId, RackId,
+    RequestId, RulesVersion, RunnerId, TaskId, TeamId, WorkerId,
+};
+pub use job::{JobKind, JobSpec, JobState, JobView, Priority, Spread, TaskCounts};
+pub use message::{
+    Envelope, Freshness, Heartbeat, JobCommand, JobQuery, Message, Ownership, PoolStatus,
+    RequestAsk, Role, RulesCopy, RunEnd, RunReport, RunnerStatus, SlotGrant, TeamStatus, TeamUse,
+    WorkerStatus,
+};
+pub use outcome::{Answer, NotRunReason, Outcome};
+pub use stamp::Stamp;
+pub use units::{Millis, Resources};
--- /dev/null
+++ b/components/types/src/stamp.rs
@@ -0,0 +1,33 @@
+//! Hybrid logical timestamps, which order events over all processes.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A hybrid logical timestamp: wall time that never runs backwards, with a counter.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// Wall time since the Unix epoch, in milliseconds.
+    pub wall_ms: u64,
+    /// Order of events within the same millisecond.
+    pub counter: u32,
+}
+
+impl Stamp {
+    /// The first stamp after `self` and `seen` that is not before `wall_ms`.
+    pub fn advance(self, seen: Stamp, wall_ms: u64) -> Stamp {
+        let latest = self.max(seen);
+        if wall_ms > latest.wall_ms {
+            return Stamp { wall_ms, counter: 0 };
+        }
+        Stamp { wall_ms: latest.wall_ms, counter: latest.counter + 1 }
+    }
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:04}", self.wall_ms, self.counter)
+    }
+}
--- /dev/null
+++ b/components/types/src/units.rs
@@ -0,0 +1,131 @@
+//! Newtypes for times and sizes.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use errors::Error;
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds, as a duration or as an instant on a named clock.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The time from `earlier` to `self`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The same time as a standard duration.
+    pub fn to_duration(self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+
+    fn sub(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_sub(other.0))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let digits = text.strip_suffix("ms").unwrap_or(text);
+        digits
+            .parse()
+            .map(Millis)
+            .map_err(|_| Error::Parse("number of milliseconds", text.to_owned()))
+    }
+}
+
+/// An amount of a worker's resources.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    #[serde(default)]
+    pub cpu_milli: u64,
+    /// Memory in mebibytes.
+    #[serde(default)]
+    pub mem_mb: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accels: u64,
+}
+
+impl Resources {
+    /// No resources.
+    pub const ZERO: Resources = Resources { cpu_milli: 0, mem_mb: 0, accels: 0 };
+
+    /// Whether `need` fits inside `self` in every resource.
+    pub fn holds(&self, need: &Resources) -> bool {
+        self.cpu_milli >= need.cpu_milli && self.mem_mb >= need.mem_mb && self.accels >= need.accels
+    }
+
+    /// The sum of both amounts.
+    pub fn plus(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            mem_mb: self.mem_mb + other.mem_mb,
+            accels: self.accels + other.accels,
+        }
+    }
+
+    /// The difference, never below zero.
+    pub fn minus(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
+            accels: self.accels.saturating_sub(other.accels),
+        }
+    }
+
+    /// The amount `count` times over.
+    pub fn times(&self, count: u64) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli * count,
+            mem_mb: self.mem_mb * count,
+            accels: self.accels * count,
+        }
+    }
+
+    /// The largest fraction of `total` that `self` takes in any one resource, from 0.0 to 1.0.
+    pub fn dominant_share(&self, total: &Resources) -> f64 {
+        let fraction = |used: u64, all: u64| if all == 0 { 0.0 } else { used as f64 / all as f64 };
+        fraction(self.cpu_milli, total.cpu_milli)
+            .max(fraction(self.mem_mb, total.mem_mb))
+            .max(fraction(self.accels, total.accels))
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m cpu, {} MB", self.cpu_milli, self.mem_mb)?;
+        if self.accels > 0 {
+            write!(f, ", {} accels", self.accels)?;
+        }
+        Ok(())
+    }
+}
