--- a/components/entry/src/api.rs
+++ b/components/entry/src/api.rs
@@ -201,6 +201,7 @@
         return refuse(400, "bad_idempotency_key", "not usable");
     };
     let incoming = Incoming {
+        holder: shared.new_holder(),
         id,
         id_is_callers: key.is_some(),
         content_hash: stable_hash(&[&body]),
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -5,7 +5,13 @@
 use std::sync::{Mutex, PoisonError};
 
 use libs::crossbeam_channel::{Receiver, Sender, bounded};
-use types::{CallId, JobView, Outcome, PoolStatus, SlotGrant};
+use types::{CallId, JobView, Millis, Outcome, PoolId, PoolStatus, SlotGrant};
+
+use crate::Shared;
+use crate::view::Owner;
+
+/// Longest wait for a reply before it is checked whether the owner is still the same.
+const OWNER_CHECK_MS: Millis = Millis(100);
 
 /// A scheduler's reply.
 #[derive(Debug)]
@@ -36,9 +42,14 @@
 }
 
 impl Calls {
+    /// A number that no other call of this process has.
+    pub(crate) fn new_id(&self) -> CallId {
+        CallId(self.next.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
     /// Opens a call that takes up to `replies` replies.
     pub(crate) fn open(&self, replies: usize) -> PendingCall<'_> {
-        let id = CallId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
+        let id = self.new_id();
         let (sender, receiver) = bounded(replies);
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sender);
         PendingCall { calls: self, id, replies: receiver }
@@ -56,6 +67,25 @@
 }
 
 impl PendingCall<'_> {
+    /// Waits for the reply of a pool's owner, until another process owns the pool or the time is up.
+    pub(crate) fn wait_for_owner(
+        self,
+        shared: &Shared,
+        pool: &PoolId,
+        owner: &Owner,
+        deadline_at: Millis,
+    ) -> Option<Reply> {
+        loop {
+            if let Some(reply) = self.wait(OWNER_CHECK_MS.to_duration()) {
+                return Some(reply);
+            }
+            let same_owner = shared.view.get().owners.get(pool) == Some(owner);
+            if !same_owner || clock::now() >= deadline_at {
+                return self.close();
+            }
+        }
+    }
+
     /// Waits for a reply.
     pub(crate) fn wait(&self, timeout: std::time::Duration) -> Option<Reply> {
         self.replies.recv_timeout(timeout).ok()
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -15,8 +15,6 @@
 const QUERY_TIMEOUT_MS: Millis = Millis(1_000);
 /// Pause before asking again where no owner is known.
 const NO_OWNER_PAUSE_MS: Millis = Millis(50);
-/// Longest wait for a reply before it is checked whether the owner is still the same.
-const OWNER_CHECK_MS: Millis = Millis(100);
 /// When a caller may come back.
 const RETRY_AFTER_MS: Millis = Millis(1_000);
 
@@ -71,15 +69,7 @@
         };
         let call = shared.calls.open(1);
         shared.mesh.send(owner.address, Message::JobCommand(call.id, command.clone()));
-        let reply = loop {
-            if let Some(reply) = call.wait(OWNER_CHECK_MS.to_duration()) {
-                break Some(reply);
-            }
-            let same_owner = shared.view.get().owners.get(pool) == Some(&owner);
-            if !same_owner || clock::now() >= deadline_at {
-                break call.close();
-            }
-        };
+        let reply = call.wait_for_owner(shared, pool, &owner, deadline_at);
         match reply {
             Some(Reply::Outcome(Outcome::NotRun { reason: NotRunReason::NoOwner, .. })) => {
                 std::thread::sleep(NO_OWNER_PAUSE_MS.to_duration());
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod http;
 mod jobs;
+mod plan;
 mod request;
 mod view;
 
@@ -26,7 +27,7 @@
 use net::Mesh;
 use node::{Node, RulesWatch, new_identity};
 use timeline::{EventKind, Timeline};
-use types::{Millis, Role};
+use types::{Holder, Millis, NodeId, Role};
 
 use crate::budget::RetryBudget;
 use crate::calls::Calls;
@@ -34,6 +35,9 @@
 use crate::http::HttpFront;
 use crate::view::SharedView;
 
+pub use crate::plan::{Next, Plan};
+pub use crate::request::Incoming;
+
 /// Inputs that may wait for the control thread.
 const INPUT_RING: usize = 1_024;
 /// Messages of peers that may wait for the control thread.
@@ -45,6 +49,7 @@
 
 /// What request handlers share.
 pub(crate) struct Shared {
+    pub(crate) identity: NodeId,
     pub(crate) settings: Settings,
     pub(crate) view: SharedView,
     pub(crate) calls: Calls,
@@ -55,6 +60,20 @@
     pub(crate) timeline: Timeline,
 }
 
+impl Shared {
+    /// A holder of grants that no other try is.
+    pub(crate) fn new_holder(&self) -> Holder {
+        Holder { node: self.identity.clone(), run: self.calls.new_id().0 }
+    }
+
+    /// Takes from the retry budget. False if it is used up.
+    pub(crate) fn take_retry(&self) -> bool {
+        let taken = self.budget.take();
+        self.metrics.count(if taken { "requests.retries" } else { "requests.retries_denied" });
+        taken
+    }
+}
+
 /// Runs the process until it is told to stop, and then until requests in progress have ended.
 pub fn run(settings: &Settings, token: &CancellationToken) -> Result<()> {
     // Transports must outlive the token, because requests in progress still need them.
@@ -84,6 +103,7 @@
     let timer = Timer::start(services.clone())?;
     timer.subscribe(settings.timing.heartbeat_ms, inputs_in, Input::Heartbeat);
     let shared = Arc::new(Shared {
+        identity: identity.clone(),
         settings: settings.clone(),
         view: SharedView::default(),
         calls: Calls::default(),
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -73,6 +73,10 @@
     known: BTreeMap<SocketAddr, Millis>,
     /// When the rules were last confirmed by the key-value service, directly or through peers.
     confirmed_at: Option<Millis>,
+    /// When the last round began.
+    ticked_at: Option<Millis>,
+    /// Nothing is trusted before this, because the own process was paused.
+    distrust_until: Millis,
     random: StdRng,
 }
 
@@ -86,7 +90,16 @@
             .map(|seed| (*seed, now))
             .collect();
         let random = StdRng::seed_from_u64(settings.random_seed);
-        Self { settings, own, peers: BTreeMap::new(), known, confirmed_at: None, random }
+        Self {
+            settings,
+            own,
+            peers: BTreeMap::new(),
+            known,
+            confirmed_at: None,
+            ticked_at: None,
+            distrust_until: Millis(0),
+            random,
+        }
     }
 
     /// The own heartbeat, to change what it says.
@@ -166,6 +179,7 @@
     /// Starts a round: suspects silent peers and returns the changes.
     pub fn tick(&mut self, now: Millis) -> Vec<Change> {
         let suspect_ms = self.settings.suspect_ms;
+        self.notice_pause(now);
         let mut changes = Vec::new();
         for (name, peer) in &mut self.peers {
             if peer.alive && now.since(peer.heard_at) >= suspect_ms {
@@ -178,6 +192,18 @@
         changes
     }
 
+    /// After a pause of the own process, messages from before the pause may still arrive: nothing is
+    /// trusted until peers had the time to be heard anew.
+    fn notice_pause(&mut self, now: Millis) {
+        let suspect_ms = self.settings.suspect_ms;
+        let paused = self.ticked_at.is_some_and(|at| now.since(at) >= suspect_ms);
+        self.ticked_at = Some(now);
+        if paused {
+            self.confirmed_at = None;
+            self.distrust_until = now + suspect_ms;
+        }
+    }
+
     /// The heartbeats to send in this round, by address.
     pub fn heartbeats(&mut self, now: Millis) -> Vec<(SocketAddr, Vec<Heartbeat>)> {
         self.own.sequence += 1;
--- a/components/pool/src/grants.rs
+++ b/components/pool/src/grants.rs
@@ -30,7 +30,7 @@
             self.send(from.address, Message::SlotRefusal(ask.call, outcome));
             return;
         }
-        if let Some(outcome) = self.settle_at_once(now, &from, &ask) {
+        if let Some(outcome) = self.settle_at_once(now, &ask) {
             self.push(Action::Count("requests.settled_at_once"));
             self.send(from.address, Message::SlotRefusal(ask.call, outcome));
             return;
@@ -50,13 +50,13 @@
     }
 
     /// The outcome of an ask that need not or must not wait for a slot.
-    fn settle_at_once(&mut self, now: Millis, from: &ReplyTo, ask: &RequestAsk) -> Option<Outcome> {
+    fn settle_at_once(&mut self, now: Millis, ask: &RequestAsk) -> Option<Outcome> {
         if !ask.idempotent
-            && let Some(outcome) = self.settle_from_journal(now, from, ask)
+            && let Some(outcome) = self.settle_from_journal(now, ask)
         {
             return Some(outcome);
         }
-        if let Some(outcome) = self.settle_live(from, ask) {
+        if let Some(outcome) = self.settle_live(ask) {
             return Some(outcome);
         }
         if ask.is_retry && self.runners.works_for_former_owner(&ask.request) {
@@ -78,12 +78,7 @@
     }
 
     /// What the journal says of a non-idempotent request that was seen before.
-    fn settle_from_journal(
-        &mut self,
-        now: Millis,
-        from: &ReplyTo,
-        ask: &RequestAsk,
-    ) -> Option<Outcome> {
+    fn settle_from_journal(&mut self, now: Millis, ask: &RequestAsk) -> Option<Outcome> {
         let known = self.journal.state().requests.get(&ask.request)?;
         if known.content_hash != ask.content_hash {
             return Some(Outcome::not_run(NotRunReason::IdReused, Millis(0)));
@@ -100,7 +95,7 @@
             }
             Some(RequestEnd::NotRun) => None,
             // The holder of the only grant asks again: it did not use that grant and never will.
-            None if known.holder == from.node => None,
+            None if known.holder == ask.holder => None,
             None if self.requests.live.contains_key(&ask.request) => None,
             None if now < self.runners.former_runs_end_at => {
                 Some(Outcome::InProgress { retry_after_ms: IN_PROGRESS_RETRY_MS })
@@ -114,15 +109,15 @@
     }
 
     /// What to tell about a request that is in progress here already.
-    fn settle_live(&mut self, from: &ReplyTo, ask: &RequestAsk) -> Option<Outcome> {
+    fn settle_live(&mut self, ask: &RequestAsk) -> Option<Outcome> {
         let live = self.requests.live.get(&ask.request)?;
         if live.ask.content_hash != ask.content_hash {
             return Some(Outcome::not_run(NotRunReason::IdReused, Millis(0)));
         }
-        if live.reply_to.node != from.node {
+        if live.ask.holder != ask.holder {
             return Some(Outcome::InProgress { retry_after_ms: IN_PROGRESS_RETRY_MS });
         }
-        // The same process asks again: it has dropped its earlier ask and what comes of it.
+        // The same holder asks again: it has dropped its earlier ask and what comes of it.
         let id = ask.request.clone();
         if let Some(old) = self.requests.remove(&id)
             && let Stage::Granted(runner) = old.stage
@@ -222,7 +217,7 @@
         let record = Record::RequestIntent {
             request: id.clone(),
             content_hash: request.ask.content_hash,
-            holder: request.reply_to.node.clone(),
+            holder: request.ask.holder.clone(),
             attempt: request.attempt,
         };
         self.requests.leave_line(id, Stage::Committing);
--- a/components/pool/src/pool.rs
+++ b/components/pool/src/pool.rs
@@ -29,6 +29,8 @@
 
 /// Period of work that need not be done at each tick.
 const SLOW_TICK_MS: Millis = Millis(1_000);
+/// A gap between two events after which this process was surely paused, and may have been replaced.
+const PAUSE_MS: Millis = Millis(1_000);
 /// Shortest time to come back that a refusal names.
 const RETRY_AFTER_MS: Millis = Millis(500);
 
@@ -97,6 +99,8 @@
     pub(crate) rules: Arc<Rules>,
     pub(crate) tenure: Tenure,
     pub(crate) trusted: bool,
+    /// When the last event arrived.
+    last_event_at: Option<Millis>,
     pub(crate) claimed_at: Millis,
     pub(crate) journal: Journal<FollowUp>,
     pub(crate) jobs: Jobs,
@@ -127,6 +131,7 @@
             rules: Arc::new(Rules::default()),
             tenure: Tenure::None,
             trusted: true,
+            last_event_at: None,
             claimed_at: Millis(0),
             journal: Journal::new(settings.pool.clone(), settings.me.clone()),
             jobs: Jobs::default(),
@@ -153,6 +158,7 @@
 
     /// Takes an event at a time on the process clock and returns what to do, in order.
     pub fn step(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        self.notice_pause(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Rules(rules) => self.set_rules(rules),
@@ -178,6 +184,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// A process that was paused trusts nothing until it is told again that it may.
+    fn notice_pause(&mut self, now: Millis) {
+        let gap = self.last_event_at.map_or(Millis(0), |at| now.since(at));
+        self.last_event_at = Some(now);
+        if gap >= PAUSE_MS && self.tenure != Tenure::None {
+            self.trusted = false;
+            self.push(Action::Count("pool.own_pauses"));
+        }
+    }
+
     /// Whether this process owns the pool.
     pub fn is_owner(&self) -> bool {
         matches!(self.tenure, Tenure::Owner | Tenure::Releasing)
--- a/components/pool/src/preempt.rs
+++ b/components/pool/src/preempt.rs
@@ -96,11 +96,14 @@
         }
     }
 
+    /// Stops a placed task. One that was not sent yet waits again at once.
     fn stop_task(&mut self, worker: &WorkerId, task: &TaskId) {
         let placed =
             self.workers.by_id.get_mut(worker).and_then(|worker| worker.tasks.get_mut(task));
-        if let Some(placed) = placed {
-            placed.stopping = Some(true);
+        match placed {
+            Some(placed) if placed.is_unsent() => self.requeue(worker, task),
+            Some(placed) => placed.stopping = Some(true),
+            None => {}
         }
     }
 
--- a/components/pool/src/record.rs
+++ b/components/pool/src/record.rs
@@ -7,8 +7,8 @@
 use libs::postcard;
 use serde::{Deserialize, Serialize};
 use types::{
-    Attempt, Epoch, JobId, JobSpec, JobState, NodeId, PoolId, RequestId, TaskCounts, TaskId,
-    WorkerId,
+    Attempt, Epoch, Holder, JobId, JobSpec, JobState, NodeId, PoolId, RequestId, TaskCounts,
+    TaskId, WorkerId,
 };
 
 /// Ended jobs whose outcome is kept.
@@ -55,8 +55,8 @@
         request: RequestId,
         /// Checksum of its content.
         content_hash: u64,
-        /// The only process that gets the grant.
-        holder: NodeId,
+        /// The only one that gets the grant.
+        holder: Holder,
         /// The try.
         attempt: Attempt,
     },
@@ -95,8 +95,8 @@
 pub struct DurableRequest {
     /// Checksum of its content.
     pub content_hash: u64,
-    /// The process that got, or may have got, the grant.
-    pub holder: NodeId,
+    /// Who got, or may have got, the grant.
+    pub holder: Holder,
     /// The newest try.
     pub attempt: Attempt,
     /// How it ended; none while it may still run.
--- a/components/pool/src/tasks.rs
+++ b/components/pool/src/tasks.rs
@@ -221,7 +221,7 @@
     }
 
     /// A placed task surely does not run and did not end: it waits again.
-    fn requeue(&mut self, worker_id: &WorkerId, task: &TaskId) {
+    pub(crate) fn requeue(&mut self, worker_id: &WorkerId, task: &TaskId) {
         let Some(placed) = self.unplace(worker_id, task) else { return };
         if placed.orphan {
             return;
@@ -623,13 +623,8 @@
         worker.lapse_at = None;
         worker.attached = false;
         worker.strays.clear();
-        let tasks: Vec<(TaskId, bool)> = worker
-            .tasks
-            .iter()
-            .map(|(task, placed)| {
-                (task.clone(), !matches!(placed.phase, Phase::Committing | Phase::Queued))
-            })
-            .collect();
+        let tasks: Vec<(TaskId, bool)> =
+            worker.tasks.iter().map(|(task, placed)| (task.clone(), !placed.is_unsent())).collect();
         self.record_event(EventKind::WorkerLapsed, id.as_str(), &format!("{} tasks", tasks.len()));
         self.update_open(id);
         for (task, was_sent) in tasks {
@@ -686,14 +681,21 @@
 
     /// Stops tasks of a job that is gone. They count until their workers say that they ended.
     pub(crate) fn orphan_tasks(&mut self, job: &Job) {
-        for worker in job.by_worker.keys() {
-            let Some(worker) = self.workers.by_id.get_mut(worker) else { continue };
+        for id in job.by_worker.keys() {
+            let Some(worker) = self.workers.by_id.get_mut(id) else { continue };
             let first = TaskId { job: job.spec.id.clone(), index: 0 };
-            let tasks =
-                worker.tasks.range_mut(first..).take_while(|(task, _)| task.job == job.spec.id);
-            for (_, placed) in tasks {
+            let mut unsent = Vec::new();
+            for (task, placed) in
+                worker.tasks.range_mut(first..).take_while(|(task, _)| task.job == job.spec.id)
+            {
                 placed.orphan = true;
                 placed.stopping = Some(false);
+                if placed.is_unsent() {
+                    unsent.push(task.clone());
+                }
+            }
+            for task in unsent {
+                self.unplace(id, &task);
             }
         }
     }
--- a/components/pool/src/workers.rs
+++ b/components/pool/src/workers.rs
@@ -90,6 +90,13 @@
     pub(crate) orphan: bool,
 }
 
+impl PlacedTask {
+    /// Whether its worker surely has not heard of it.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(self.phase, Phase::Committing | Phase::Queued)
+    }
+}
+
 /// A worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -189,6 +196,7 @@
         for (id, task) in &mut self.tasks {
             if let Some(checkpoint) = task.stopping {
                 stop.push(StopTask { task: id.clone(), attempt: task.attempt, checkpoint });
+                continue;
             }
             if self.attached && matches!(task.phase, Phase::Queued | Phase::Sent(_)) {
                 let first_sent = if let Phase::Sent(first) = task.phase { first } else { call };
--- a/components/scheduler/src/decisions.rs
+++ b/components/scheduler/src/decisions.rs
@@ -232,6 +232,9 @@
         self.node.set_owned(self.pools.values().filter_map(Pool::ownership).collect());
         let changes = self.node.tick(now);
         self.take_changes(now, changes);
+        // Repeated, because a pool that noticed a pause waits for it.
+        let trusted = self.node.trusted();
+        self.step_all(now, &Event::Trusted(trusted));
         if now.since(self.uses_told_at) >= USE_PERIOD_MS {
             self.uses_told_at = now;
             self.tell_uses(now);
--- a/components/standin/src/backends.rs
+++ b/components/standin/src/backends.rs
@@ -45,7 +45,7 @@
     /// Runners in each failure domain.
     pub runners: usize,
     /// Slots of each runner.
-    pub slots: usize,
+    pub slots: u32,
     /// Time that a runner works on a request.
     pub service_ms: u64,
 }
@@ -248,7 +248,7 @@
         if body.take(MAX_BODY_BYTES).read_to_string(&mut text).is_err() {
             return Response::empty_400();
         }
-        runner.run(self.now(), request, &text)
+        runner.run(&|| self.now(), request, &text)
     }
 
     fn tell_truth(&self) -> Response {
@@ -310,7 +310,7 @@
         }
         if let Some(runner) = self.runners.get(name) {
             match action {
-                Action::Restart => runner.restart(),
+                Action::Restart => runner.restart(self.now()),
                 Action::Truncate => runner.set_truncates(true),
                 _ => {}
             }
--- a/components/standin/src/cli.rs
+++ b/components/standin/src/cli.rs
@@ -55,7 +55,7 @@
     runners: usize,
     /// Slots of each runner.
     #[arg(long, default_value_t = 8)]
-    slots: usize,
+    slots: u32,
     /// Time that a runner works on a request, in milliseconds.
     #[arg(long, default_value_t = 20)]
     service_ms: u64,
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod kv;
 mod platform;
 mod runner;
+mod runner_core;
 mod truth;
 mod worker;
 
@@ -13,5 +14,6 @@
 pub use kv::{KvFaults, KvServer};
 pub use platform::serve_platform;
 pub use runner::{Runner, RunnerForm};
+pub use runner_core::{RunOrder, RunnerCore};
 pub use truth::{Run, RunKind, Truth};
 pub use worker::Worker;
--- a/components/types/src/ids.rs
+++ b/components/types/src/ids.rs
@@ -150,6 +150,17 @@
     }
 }
 
+/// Who may use a grant: one try of a caller to have a request served, in one process.
+///
+/// A caller that sends a request again, even through the same process, is another holder.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The process.
+    pub node: NodeId,
+    /// Number of the try in that process.
+    pub run: u64,
+}
+
 /// One task of a job.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -16,8 +16,8 @@
 };
 pub use hash::{rendezvous, stable_hash};
 pub use ids::{
-    Attempt, CallId, DomainId, Epoch, JobId, KeyId, NodeId, NodeName, PoolId, QueueId, RackId,
-    RequestId, RulesVersion, RunnerId, TaskId, TeamId, WorkerId,
+    Attempt, CallId, DomainId, Epoch, Holder, JobId, KeyId, NodeId, NodeName, PoolId, QueueId,
+    RackId, RequestId, RulesVersion, RunnerId, TaskId, TeamId, WorkerId,
 };
 pub use job::{JobKind, JobSpec, JobState, JobView, Priority, Spread, TaskCounts};
 pub use message::{
--- a/components/types/src/message.rs
+++ b/components/types/src/message.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Attempt, CallId, Epoch, JobId, JobSpec, JobView, Millis, NodeId, Outcome, PoolId, Priority,
-    QueueId, RequestId, Resources, RulesVersion, RunnerId, TeamId, WorkerId,
+    Attempt, CallId, Epoch, Holder, JobId, JobSpec, JobView, Millis, NodeId, Outcome, PoolId,
+    Priority, QueueId, RequestId, Resources, RulesVersion, RunnerId, TeamId, WorkerId,
 };
 
 /// A message with its sender.
@@ -138,6 +138,8 @@
     pub call: CallId,
     /// The pool asked.
     pub pool: PoolId,
+    /// Who will use the grant.
+    pub holder: Holder,
     /// The request, equal for all its tries.
     pub request: RequestId,
     /// Checksum of the request's content, to tell reuse of an id for another content.
