A request's slot is accounted by its real last stage

Ruled out: the lapse computed for the grant (it was right), the order of report and ask (either order must be safe).

Change: remove() leaves the stage alone; an ask says whether its holder lost a run, and then the earlier grant blocks the request until it has lapsed; a refusal 'in progress' that is about the request's own lost run is waited out.

--- a/components/entry/src/plan.rs
+++ b/components/entry/src/plan.rs
@@ -57,12 +57,19 @@
         self.is_retry
     }
 
+    /// Whether this process used a grant and does not know how the run ended.
+    pub fn lost_a_run(&self) -> bool {
+        self.lost_a_run
+    }
+
     /// After a refusal.
     pub fn after_refusal(&self, outcome: Outcome) -> Next {
         match outcome {
             Outcome::NotRun {
                 reason: NotRunReason::NoOwner | NotRunReason::ShuttingDown, ..
             } => Next::AskLater,
+            // The run that goes on is this request's own lost one.
+            Outcome::InProgress { .. } if self.lost_a_run => Next::AskLater,
             Outcome::NotRun { reason, .. } if self.lost_a_run => Next::Done(self.refusal(reason)),
             outcome => Next::Done(outcome),
         }
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -128,6 +128,7 @@
             remaining_ms: incoming.deadline_at.since(clock::now()),
             run_limit_ms: incoming.run_limit_ms,
             is_retry: self.plan.is_retry(),
+            lost_a_run: self.plan.lost_a_run(),
         };
         self.shared.mesh.send(owner.address, Message::SlotAsk(ask));
         let reply = call.wait_for_owner(self.shared, pool, &owner, incoming.deadline_at);
--- a/components/pool/src/grants.rs
+++ b/components/pool/src/grants.rs
@@ -122,7 +122,12 @@
         if let Some(old) = self.requests.remove(&id)
             && let Stage::Granted(runner) = old.stage
         {
-            self.free_slot(&runner, &id, old.attempt);
+            if ask.lost_a_run {
+                // Its report has not arrived: the run may go on.
+                self.note_lost_until(&runner, &id);
+            } else {
+                self.free_slot(&runner, &id, old.attempt);
+            }
         }
         None
     }
@@ -338,9 +343,14 @@
             self.append(record, None);
             return;
         }
+        self.note_lost_until(runner_id, &report.request);
+    }
+
+    /// Remembers until when a run may go on, so that the request is not granted before.
+    fn note_lost_until(&mut self, runner_id: &RunnerId, id: &RequestId) {
         let grants = self.runners.by_id.get(runner_id).map(|runner| &runner.grants);
-        if let Some(grant) = grants.and_then(|grants| grants.get(&report.request)) {
-            self.requests.lost_until.insert(report.request.clone(), grant.lapse_at);
+        if let Some(grant) = grants.and_then(|grants| grants.get(id)) {
+            self.requests.lost_until.insert(id.clone(), grant.lapse_at);
         }
     }
 
--- a/components/pool/src/requests.rs
+++ b/components/pool/src/requests.rs
@@ -75,14 +75,19 @@
         self.lines.entry(ask.priority).or_default().entry(ask.team.clone()).or_default()
     }
 
-    /// Takes a waiting request out of its line. It stays live in the given stage.
+    /// Takes a request out of its line, if it waits there. It stays live in the given stage.
     pub(crate) fn leave_line(&mut self, id: &RequestId, stage: Stage) {
-        let Some(request) = self.live.get_mut(id) else { return };
-        if request.stage != Stage::Waiting {
+        self.unlink(id);
+        if let Some(request) = self.live.get_mut(id) {
             request.stage = stage;
-            return;
         }
-        request.stage = stage;
+    }
+
+    fn unlink(&mut self, id: &RequestId) {
+        let Some(request) = self.live.get(id).filter(|request| request.stage == Stage::Waiting)
+        else {
+            return;
+        };
         let (place, ask) = (request.place, request.ask.clone());
         self.waiting -= 1;
         let line = self.line_of(&ask);
@@ -92,9 +97,9 @@
         }
     }
 
-    /// Ends a request.
+    /// Ends a request. Returns it in its last stage.
     pub(crate) fn remove(&mut self, id: &RequestId) -> Option<Request> {
-        self.leave_line(id, Stage::Committing);
+        self.unlink(id);
         let request = self.live.remove(id)?;
         self.by_deadline.remove(&(request.deadline_at, id.clone()));
         Some(request)
--- a/components/pool/tests/world/callers.rs
+++ b/components/pool/tests/world/callers.rs
@@ -229,6 +229,7 @@
                     remaining_ms: Millis(caller.deadline_at - self.now),
                     run_limit_ms: incoming.run_limit_ms,
                     is_retry: plan.is_retry(),
+                    lost_a_run: plan.lost_a_run(),
                 },
             ),
             (_, _, Some(command)) => {
@@ -284,6 +285,10 @@
         let pause = if self.loss > 0 && self.random.random_bool(0.05) { 4_000 } else { 0 };
         let delay = self.delay() + pause;
         let work = Millis(self.random.random_range(5..1_200));
+        self.log.push(format!(
+            "{} grant {} of {} on {}",
+            self.now, grant.attempt, grant.request, grant.runner
+        ));
         let order = RunOrder {
             id: grant.request.clone(),
             attempt: grant.attempt.0,
@@ -302,6 +307,12 @@
         if grant.attempt.0 != attempt {
             return;
         }
+        let word = match &result {
+            RunResult::Answered(_) => "answered",
+            RunResult::NotStarted => "not started",
+            RunResult::Lost => "lost",
+        };
+        self.log.push(format!("{} run {} of {} {word}", self.now, attempt, grant.request));
         self.callers[index].waits = Waits::Nothing;
         let kept = match &result {
             RunResult::Answered(answer) => Some(answer.clone()),
--- a/components/types/src/message.rs
+++ b/components/types/src/message.rs
@@ -156,8 +156,10 @@
     pub remaining_ms: Millis,
     /// Longest time that a runner may work on it.
     pub run_limit_ms: Millis,
-    /// Whether this is a second try after a run that may have started.
+    /// Whether an earlier run may have started, of this holder or of an earlier one.
     pub is_retry: bool,
+    /// Whether the holder used its last grant and does not know how the run ended.
+    pub lost_a_run: bool,
 }
 
 /// Permission to send one request to one runner.
