Faults of real processes under load, each compared with the stand-ins' truth

Found by them and mended: - Rolling replacement: an entry that was leaving got no heartbeats any more, so it forgot all owners and its requests in progress waited 8 s for their deadline. Peers now send heartbeats to a leaving process until it is silent. - It did not end while a client kept its connection open: the server's thread was waited for. After draining it refuses new requests as 'not run' and ends. - After a hand-over, requests that may have come before were refused because unattached runners were taken for busy until their longest run's end. They are held only until the runners are attached (some ms). - A scheduler that had just started was assigned pools it would not yet claim, and three that started together claimed each other's. A heartbeat says whether its sender takes pools; nothing is claimed in the first 1.5 s. - The own rate limit for writes was taken for a failing store, so that orders were refused.

--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use libs::compact_str::CompactString;
-use types::{DomainId, KeyId, PoolId, QueueId, Resources, RulesVersion, TeamId};
+use types::{DomainId, KeyId, Millis, PoolId, QueueId, Resources, RulesVersion, TeamId};
 
 use crate::text::parse_lines;
 use crate::{
@@ -155,6 +155,11 @@
         self.queues.values()
     }
 
+    /// The longest time that a runner may work on one request, over all queues.
+    pub fn longest_run_limit(&self) -> Millis {
+        self.queues.values().map(|queue| queue.run_limit_ms).max().unwrap_or_default()
+    }
+
     /// All pools.
     pub fn pools(&self) -> impl Iterator<Item = &PoolRule> {
         self.pools.values()
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -87,7 +87,7 @@
 }
 
 fn default_writes_per_s() -> u32 {
-    40
+    60
 }
 
 /// The platform's other interfaces.
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: membership, rules, and replies of schedulers to waiting handlers.
 
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use std::thread;
 
 use clock::CancellationToken;
 use errors::{Error, Result};
@@ -38,12 +38,13 @@
         peers: Receiver<Envelope>,
         stopping: CancellationToken,
         services: CancellationToken,
-    ) -> Result<JoinHandle<()>> {
+    ) -> Result<()> {
         let mut control = Self { node, shared, stopping };
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || control.run(&inputs, &peers, &services))
-            .map_err(|error| Error::File("control thread".to_owned(), error))
+            .map_err(|error| Error::File("control thread".to_owned(), error))?;
+        Ok(())
     }
 
     fn run(
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -1,9 +1,9 @@
 //! The HTTP server towards callers.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc;
-use std::thread::{self, JoinHandle};
+use std::thread;
 
 use errors::{Error, Result};
 use libs::rouille::{Request, Response, Server};
@@ -20,40 +20,50 @@
 /// The running server.
 pub(crate) struct HttpFront {
     in_progress: Arc<AtomicUsize>,
+    refuses_new: Arc<AtomicBool>,
     stop: mpsc::Sender<()>,
-    thread: JoinHandle<()>,
 }
 
 impl HttpFront {
     /// Starts the server.
     pub(crate) fn start(shared: Arc<Shared>) -> Result<Self> {
         let in_progress = Arc::new(AtomicUsize::new(0));
-        let counted = in_progress.clone();
+        let refuses_new = Arc::new(AtomicBool::new(false));
+        let (counted, refusing) = (in_progress.clone(), refuses_new.clone());
         let listen = shared.settings.http.listen;
         let most = shared.settings.http.max_waiting;
-        let server = Server::new(listen, move |request| handle(&shared, &counted, request))
-            .map_err(|error| Error::Net(format!("cannot listen on {listen}: {error}")))?
-            .pool_size(most + SPARE_THREADS);
-        let (thread, stop) = server.stoppable();
-        Ok(Self { in_progress, stop, thread })
+        let server =
+            Server::new(listen, move |request| handle(&shared, &counted, &refusing, request))
+                .map_err(|error| Error::Net(format!("cannot listen on {listen}: {error}")))?
+                .pool_size(most + SPARE_THREADS);
+        // The server's thread ends with the process: it would wait for idle connections.
+        let (_thread, stop) = server.stoppable();
+        Ok(Self { in_progress, refuses_new, stop })
     }
 
-    /// Waits for requests in progress and then stops.
+    /// Refuses new requests, waits for those in progress and then stops.
     pub(crate) fn stop(self, longest_ms: Millis) {
         let until = clock::now() + longest_ms;
+        self.refuses_new.store(true, Ordering::Release);
         while self.in_progress.load(Ordering::Acquire) > 0 && clock::now() < until {
             thread::sleep(DRAIN_POLL_MS.to_duration());
         }
         self.stop.send(()).ok();
-        self.thread.join().ok();
         // Answers are written after their handler has returned.
         thread::sleep(DRAIN_POLL_MS.to_duration());
     }
 }
 
-fn handle(shared: &Shared, in_progress: &AtomicUsize, request: &Request) -> Response {
+fn handle(
+    shared: &Shared,
+    in_progress: &AtomicUsize,
+    refuses_new: &AtomicBool,
+    request: &Request,
+) -> Response {
     let waiting = in_progress.fetch_add(1, Ordering::AcqRel);
-    let response = if waiting >= shared.settings.http.max_waiting {
+    let response = if refuses_new.load(Ordering::Acquire) {
+        outcome_response(&Outcome::not_run(NotRunReason::ShuttingDown, RETRY_AFTER_MS), None)
+    } else if waiting >= shared.settings.http.max_waiting {
         shared.metrics.count("http.overloaded");
         outcome_response(&Outcome::not_run(NotRunReason::QueueFull, RETRY_AFTER_MS), None)
     } else {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -44,6 +44,8 @@
 const PEER_RING: usize = 65_536;
 /// Time after SIGTERM in which new requests are still served, so that the balancer can react.
 const DRAIN_MS: Millis = Millis(1_000);
+/// Time in which the last messages and time line events leave.
+const FAREWELL_MS: Millis = Millis(100);
 /// Period of looking whether requests in progress have ended.
 const DRAIN_POLL_MS: Millis = Millis(20);
 
@@ -115,14 +117,7 @@
     });
     let node =
         Node::new(identity, Role::Entry, settings, mesh, timeline.clone(), watch, clock::now());
-    let control = Control::start(
-        node,
-        shared.clone(),
-        inputs_out,
-        peers_out,
-        token.clone(),
-        services.clone(),
-    )?;
+    Control::start(node, shared.clone(), inputs_out, peers_out, token.clone(), services.clone())?;
     let front = HttpFront::start(shared.clone())?;
     timeline.record(EventKind::ProcessReady, "", "");
     info!("entry {} serves callers on {}", settings.process.name, settings.http.listen);
@@ -132,7 +127,8 @@
     thread::sleep(DRAIN_MS.to_duration());
     front.stop(settings.timing.shutdown_ms);
     services.cancel();
-    control.join().ok();
+    // Lets the last messages and lines leave.
+    thread::sleep(FAREWELL_MS.to_duration());
     Ok(())
 }
 
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -62,6 +62,11 @@
         /// Its name.
         name: NodeName,
     },
+    /// A peer owns other pools than before.
+    Owns {
+        /// Its name.
+        name: NodeName,
+    },
 }
 
 /// The table of known processes, as one of them sees it.
@@ -122,12 +127,12 @@
         self.peers.values()
     }
 
-    /// Names of all schedulers that are alive and not leaving, with the own process if it is one.
+    /// Names of all schedulers that may own pools and are alive, with the own process if it is one.
     pub fn live_schedulers(&self) -> BTreeSet<NodeName> {
         let own = std::iter::once(&self.own).filter(|own| !own.leaving);
         let heartbeats = own.chain(self.alive().map(|peer| &peer.heartbeat));
         heartbeats
-            .filter(|heartbeat| heartbeat.role == Role::Scheduler)
+            .filter(|heartbeat| heartbeat.role == Role::Scheduler && heartbeat.takes_pools)
             .map(|heartbeat| heartbeat.node.name.clone())
             .collect()
     }
@@ -227,7 +232,11 @@
     }
 
     fn choose_targets(&mut self) -> Vec<SocketAddr> {
-        let addresses: Vec<SocketAddr> = self.known.keys().copied().collect();
+        // Leaving peers do not count any more, but still serve requests and need to know the owners.
+        let leaving = self.peers.values().filter(|peer| peer.alive && peer.heartbeat.leaving);
+        let leaving = leaving.map(|peer| peer.heartbeat.address);
+        let addresses: BTreeSet<SocketAddr> = self.known.keys().copied().chain(leaving).collect();
+        let addresses: Vec<SocketAddr> = addresses.into_iter().collect();
         if addresses.len() <= FANOUT {
             return addresses;
         }
@@ -279,13 +288,20 @@
         let was_leaving = old.is_some_and(|old| old.leaving) && !restarted;
         let was_alive = before.as_ref().is_some_and(|peer| peer.alive) && !restarted;
         let leaving = heartbeat.leaving;
+        let owns_same = old.is_some_and(|old| owns_same(old, &heartbeat));
         self.peers.insert(name.clone(), Peer { heartbeat, heard_at: now, alive: true });
         if leaving {
             self.known.remove(&address);
-            return (!was_leaving).then_some(Change::Left { name });
+            if !was_leaving {
+                return Some(Change::Left { name });
+            }
+            return (!owns_same).then_some(Change::Owns { name });
         }
         self.known.insert(address, now);
-        (!was_alive).then_some(Change::Alive { name, address, restarted })
+        if !was_alive {
+            return Some(Change::Alive { name, address, restarted });
+        }
+        (!owns_same).then_some(Change::Owns { name })
     }
 
     /// A peer with the same rules passes on its confirmation.
@@ -298,6 +314,14 @@
     }
 }
 
+/// Whether two heartbeats name the same pools with the same epochs.
+fn owns_same(old: &Heartbeat, new: &Heartbeat) -> bool {
+    let pools = |heartbeat: &Heartbeat| -> Vec<_> {
+        heartbeat.owned.iter().map(|owned| (owned.pool.clone(), owned.epoch)).collect()
+    };
+    pools(old) == pools(new)
+}
+
 /// Whether a heartbeat replaces another one of the same name.
 fn is_newer(new: &Heartbeat, old: &Heartbeat) -> bool {
     if new.node.incarnation != old.node.incarnation {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -61,6 +61,7 @@
             role,
             sequence: 0,
             leaving: false,
+            takes_pools: false,
             rules_version: RulesVersion(0),
             freshness: Freshness::default(),
             owned: Vec::new(),
@@ -103,6 +104,11 @@
         self.members.own_mut().owned = owned;
     }
 
+    /// Says that this process may own pools from now on.
+    pub fn set_takes_pools(&mut self) {
+        self.members.own_mut().takes_pools = true;
+    }
+
     /// Says that this process is shutting down.
     pub fn set_leaving(&mut self) {
         self.members.own_mut().leaving = true;
@@ -198,6 +204,7 @@
                 Change::Suspected { name } => {
                     self.timeline.record(EventKind::PeerSuspected, name.as_str(), "")
                 }
+                Change::Owns { .. } => {}
                 Change::Left { name } => {
                     self.timeline.record(EventKind::PeerSuspected, name.as_str(), "left")
                 }
--- a/components/pool/src/event.rs
+++ b/components/pool/src/event.rs
@@ -112,6 +112,8 @@
     Unanswered,
     /// The call surely did not take effect.
     NotSent,
+    /// The call was not sent, because this process has used up its rate for the moment.
+    Throttled,
 }
 
 /// Something to do.
--- a/components/pool/src/grants.rs
+++ b/components/pool/src/grants.rs
@@ -132,12 +132,9 @@
         None
     }
 
-    /// The earliest time at which no earlier run of a request can go on.
+    /// The earliest time at which no earlier run under this owner can go on.
     fn earliest_start(&self, now: Millis, ask: &RequestAsk) -> Millis {
-        let lost_until = self.requests.lost_until.get(&ask.request).copied().unwrap_or(now);
-        let unseen = ask.is_retry && self.runners.former_runs_unseen(now);
-        let former_end = if unseen { self.runners.former_runs_end_at } else { now };
-        lost_until.max(former_end).max(now)
+        self.requests.lost_until.get(&ask.request).copied().unwrap_or(now).max(now)
     }
 
     /// Makes place in a full line by refusing the least urgent request, or refuses the new one.
@@ -197,7 +194,9 @@
     /// Grants one slot to each team that waits, as far as slots reach. True if any was granted.
     fn grant_round(&mut self, now: Millis, priority: Priority) -> bool {
         let shares = &self.shares;
-        let candidates = self.requests.candidates(priority, now, |team| shares.weight(team));
+        let hold_retries = self.runners.former_runs_unseen(now);
+        let candidates =
+            self.requests.candidates(priority, now, hold_retries, |team| shares.weight(team));
         let mut granted = false;
         for id in candidates {
             if self.runners.choose(now).is_none() {
--- a/components/pool/src/journal.rs
+++ b/components/pool/src/journal.rs
@@ -12,6 +12,8 @@
 const SNAPSHOT_AFTER_BYTES: usize = 16 << 10;
 /// Largest encoded group of records for one write, in bytes.
 const GROUP_BYTES: usize = 256 << 10;
+/// Wait after a call that the own rate did not allow.
+const THROTTLED_MS: Millis = Millis(20);
 /// First wait after a failed call.
 const RETRY_FIRST_MS: Millis = Millis(50);
 /// Longest wait after a failed call.
@@ -266,6 +268,12 @@
                 self.retry_later(now);
                 (Progress::Pending, None)
             }
+            Err(StoreFailure::Throttled) => {
+                if let Some(flight) = &mut self.flight {
+                    flight.retry_at = Some(now + THROTTLED_MS);
+                }
+                (Progress::Pending, None)
+            }
             Err(_) => {
                 self.retry_later(now);
                 (Progress::Pending, None)
--- a/components/pool/src/lifecycle.rs
+++ b/components/pool/src/lifecycle.rs
@@ -12,9 +12,6 @@
 use crate::runners::START_WINDOW_MS;
 use crate::workers::{Worker, lapse_after};
 
-/// Longest time that a runner works on one request, over all queues.
-const MAX_RUN_LIMIT_MS: Millis = Millis(10_000);
-
 impl Pool {
     pub(crate) fn claim(&mut self) {
         if self.tenure != Tenure::None || !self.trusted {
@@ -151,7 +148,7 @@
         for runner in self.runners.by_id.values_mut() {
             *runner = crate::runners::Runner::new(runner.info.clone());
         }
-        let longest_run = START_WINDOW_MS + MAX_RUN_LIMIT_MS;
+        let longest_run = START_WINDOW_MS + self.rules.longest_run_limit();
         self.runners.former_runs_end_at =
             lapse_after(now + self.settings.unconfirmed_ms, longest_run);
     }
--- a/components/pool/src/pool.rs
+++ b/components/pool/src/pool.rs
@@ -212,6 +212,9 @@
     }
 
     fn set_rules(&mut self, rules: Arc<Rules>) {
+        if rules.version < self.rules.version {
+            return;
+        }
         self.shares.set_rules(&rules);
         self.limits.set_rules(&rules);
         self.rules = rules;
--- a/components/pool/src/requests.rs
+++ b/components/pool/src/requests.rs
@@ -116,19 +116,20 @@
     }
 
     /// The candidates of a priority: each team's oldest request that may be granted now, the teams
-    /// with the fewest slots per share first.
+    /// with the fewest slots per share first. Requests that may have run before are left out while
+    /// `hold_retries` says that runs of a former owner may go on unseen.
     pub(crate) fn candidates(
         &self,
         priority: Priority,
         now: Millis,
+        hold_retries: bool,
         weight: impl Fn(&TeamId) -> u32,
     ) -> Vec<RequestId> {
+        let is_ready = |one: &Request| one.not_before <= now && !(hold_retries && one.ask.is_retry);
         let Some(teams) = self.lines.get(&priority) else { return Vec::new() };
         let mut candidates: Vec<(u64, u64, &RequestId)> = Vec::new();
         for (team, line) in teams {
-            let ready = line
-                .iter()
-                .find(|(_, id)| self.live.get(id).is_some_and(|one| one.not_before <= now));
+            let ready = line.iter().find(|(_, id)| self.live.get(id).is_some_and(is_ready));
             let Some((place, id)) = ready else { continue };
             let weight = team.as_ref().map_or(1, &weight).max(1);
             let slots = self.slots_by_team.get(team).copied().unwrap_or(0);
--- a/components/scheduler/src/decisions.rs
+++ b/components/scheduler/src/decisions.rs
@@ -25,6 +25,9 @@
 
 /// Time after start in which this process only listens, so that it hears of present owners.
 const LISTEN_ONLY_MS: Millis = Millis(1_000);
+/// Time after start in which this process claims nothing, so that peers that start at the same
+/// time hear of each other first.
+const CLAIM_AFTER_MS: Millis = Millis(1_500);
 /// Time for which another assignment must last before a pool is handed over for balance.
 const REBALANCE_AFTER_MS: Millis = Millis(10_000);
 /// Period of telling pools what teams use elsewhere.
@@ -179,7 +182,7 @@
             match change {
                 NodeChange::Rules(rules) => self.set_rules(now, &rules),
                 NodeChange::Trust(trusted) => self.step_all(now, &Event::Trusted(trusted)),
-                NodeChange::Members => {}
+                NodeChange::Members => self.balance(now),
             }
         }
     }
@@ -239,12 +242,19 @@
             self.uses_told_at = now;
             self.tell_uses(now);
         }
-        if self.stopping_since.is_none() && now.since(self.started_at) >= LISTEN_ONLY_MS {
-            self.balance(now);
-        }
+        self.balance(now);
     }
 
+    /// Claims pools that are assigned to this process, and hands over those that are not.
     fn balance(&mut self, now: Millis) {
+        let age_ms = now.since(self.started_at);
+        if self.stopping_since.is_some() || age_ms < LISTEN_ONLY_MS {
+            return;
+        }
+        self.node.set_takes_pools();
+        if age_ms < CLAIM_AFTER_MS {
+            return;
+        }
         let members = self.node.members();
         let pools: BTreeSet<PoolId> = self.pools.keys().cloned().collect();
         let schedulers = members.live_schedulers();
--- a/components/scheduler/src/store_lane.rs
+++ b/components/scheduler/src/store_lane.rs
@@ -35,7 +35,8 @@
 fn store_failure(error: &Error) -> StoreFailure {
     match error {
         Error::VersionConflict(_) => StoreFailure::Conflict,
-        Error::Net(_) | Error::OverBudget => StoreFailure::NotSent,
+        Error::Net(_) => StoreFailure::NotSent,
+        Error::OverBudget => StoreFailure::Throttled,
         _ => StoreFailure::Unanswered,
     }
 }
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod deployment;
+mod load;
 mod ports;
 mod process;
 mod rules;
@@ -11,6 +12,7 @@
 
 pub use client::{Client, HttpAnswer};
 pub use deployment::{Deployment, Size, binaries_dir};
+pub use load::{Load, LoadReport, LoadSettings, Told};
 pub use process::{Process, Usage};
 pub use rules::{OPERATOR, TestKey, vandermolen_rules};
 pub use truth::{TruthRun, TruthSummary};
--- a/components/types/src/message.rs
+++ b/components/types/src/message.rs
@@ -87,6 +87,8 @@
     pub sequence: u64,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Whether it may own pools. False for a scheduler that has just started and only listens.
+    pub takes_pools: bool,
     /// Version of its rules.
     pub rules_version: RulesVersion,
     /// How it last confirmed its rules.
