--- a/components/backends/src/http.rs
+++ b/components/backends/src/http.rs
@@ -9,6 +9,8 @@
 const MAX_IDLE: usize = 1_024;
 /// Idle connections kept for one address. Stand-ins serve many back ends at one address.
 const MAX_IDLE_PER_HOST: usize = 128;
+/// Each of the two buffers of a connection, in bytes.
+const BUFFER_BYTES: usize = 8 << 10;
 /// Longest time to wait for a connection.
 const CONNECT_TIMEOUT_MS: Millis = Millis(1_000);
 
@@ -16,6 +18,8 @@
 pub fn new_agent() -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(MAX_IDLE)
         .max_idle_connections_per_host(MAX_IDLE_PER_HOST)
         .timeout_connect(Some(CONNECT_TIMEOUT_MS.to_duration()))
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -39,9 +39,9 @@
 pub use crate::request::Incoming;
 
 /// Inputs that may wait for the control thread.
-const INPUT_RING: usize = 1_024;
+const INPUT_RING: usize = 256;
 /// Messages of peers that may wait for the control thread.
-const PEER_RING: usize = 65_536;
+const PEER_RING: usize = 4_096;
 /// Time after SIGTERM in which new requests are still served, so that the balancer can react.
 const DRAIN_MS: Millis = Millis(1_000);
 /// Time in which the last messages and time line events leave.
--- a/components/kv/src/http.rs
+++ b/components/kv/src/http.rs
@@ -14,6 +14,8 @@
 
 /// Longest value that the service holds, in bytes.
 const MAX_VALUE_BYTES: u64 = 1 << 20;
+/// Each of the two buffers of a connection, in bytes.
+const BUFFER_BYTES: usize = 32 << 10;
 /// Time beyond a watch's own wait after which it counts as unanswered.
 const WATCH_GRACE_MS: Millis = Millis(1_000);
 
@@ -38,6 +40,8 @@
     ) -> Self {
         let agent: Agent = Agent::config_builder()
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .timeout_connect(Some(call_timeout_ms.to_duration()))
             .build()
             .into();
--- a/components/scheduler/src/lanes.rs
+++ b/components/scheduler/src/lanes.rs
@@ -20,7 +20,7 @@
 use crate::store_lane::{StoreJob, call_store};
 
 /// Calls that may wait in one lane. Further ones are dropped; pools time out and repeat them.
-const LANE_RING: usize = 8_192;
+const LANE_RING: usize = 1_024;
 /// Threads for back ends that answer.
 const BACKEND_THREADS: usize = 12;
 /// Threads for back ends that failed to answer lately.
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -27,9 +27,9 @@
 use crate::lanes::Lanes;
 
 /// Inputs that may wait for the decisions thread.
-const INPUT_RING: usize = 65_536;
+const INPUT_RING: usize = 8_192;
 /// Messages of peers that may wait for the decisions thread.
-const PEER_RING: usize = 65_536;
+const PEER_RING: usize = 8_192;
 /// Period of ticks to pools.
 const TICK_MS: Millis = Millis(10);
 
--- a/components/timeline/src/writer.rs
+++ b/components/timeline/src/writer.rs
@@ -15,7 +15,7 @@
 use crate::{Event, EventKind};
 
 /// Events that may wait for the writer thread. Further ones are dropped.
-const EVENT_RING: usize = 8192;
+const EVENT_RING: usize = 2_048;
 
 /// Handle to the time line of this process. Clones share one clock and one writer.
 #[derive(Clone)]
