--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -52,6 +52,8 @@
     pub alive: bool,
     /// Its highest counter, which may be newer than that of its heartbeat.
     pub sequence: u64,
+    /// Checksum of its name and incarnation.
+    node_hash: u32,
 }
 
 /// A change of the table.
@@ -332,10 +334,8 @@
         }
         let alive: Vec<&Peer> = self.peers.values().filter(|peer| peer.alive).collect();
         let drawn = alive.choose_multiple(&mut self.random, RELAYED_ALIVE);
-        let liveness = |peer: &&Peer| Liveness {
-            node_hash: node_hash(&peer.heartbeat.node),
-            sequence: peer.sequence,
-        };
+        let liveness =
+            |peer: &&Peer| Liveness { node_hash: peer.node_hash, sequence: peer.sequence };
         drawn.map(liveness).collect()
     }
 
@@ -385,9 +385,14 @@
         let sequence = heartbeat
             .sequence
             .max(before.as_ref().filter(|_| !restarted).map_or(0, |peer| peer.sequence));
-        self.by_hash.insert(node_hash(&heartbeat.node), name.clone());
+        let known_hash = before.as_ref().filter(|_| !restarted).map(|peer| peer.node_hash);
+        let node_hash = known_hash.unwrap_or_else(|| hash_node(&heartbeat.node));
+        self.by_hash.insert(node_hash, name.clone());
         let owns_same = old.is_some_and(|old| owns_same(old, &heartbeat));
-        self.peers.insert(name.clone(), Peer { heartbeat, heard_at: now, alive: true, sequence });
+        self.peers.insert(
+            name.clone(),
+            Peer { heartbeat, heard_at: now, alive: true, sequence, node_hash },
+        );
         if leaving {
             self.known.remove(&address);
             if !was_leaving {
@@ -413,7 +418,7 @@
 }
 
 /// Checksum of a process's name and incarnation.
-fn node_hash(node: &NodeId) -> u32 {
+fn hash_node(node: &NodeId) -> u32 {
     let hash = stable_hash(&[node.name.as_str().as_bytes(), &node.incarnation.to_le_bytes()]);
     (hash >> 32) as u32
 }
--- a/components/pool/src/view.rs
+++ b/components/pool/src/view.rs
@@ -1,5 +1,7 @@
 //! Jobs and status: commands that change jobs, and queries that only look.
 
+use std::collections::BTreeMap;
+
 use types::{
     CallId, JobCommand, JobId, JobKind, JobQuery, JobSpec, JobState, JobView, Message, Millis,
     NotRunReason, Outcome, PoolStatus, RunnerStatus, TeamId, TeamStatus, WorkerStatus,
@@ -260,6 +262,20 @@
         }
     }
 
+    /// Thousandths of cores that each team runs and waits for, for measurements.
+    pub fn cores_by_team(&self) -> Vec<(TeamId, u64, u64)> {
+        let mut waiting: BTreeMap<&TeamId, u64> = BTreeMap::new();
+        for job in self.jobs.iter() {
+            let cores = u64::from(job.counts.waiting) * job.spec.per_task.cpu_milli;
+            *waiting.entry(&job.spec.team).or_default() += cores;
+        }
+        let row = |team: &config::TeamRule| {
+            let waits = waiting.get(&team.name).copied().unwrap_or(0);
+            (team.name.clone(), self.shares.running(&team.name).cpu_milli, waits)
+        };
+        self.rules.teams().map(row).collect()
+    }
+
     /// The pool as shown to operators, if this process owns it.
     pub fn status(&self) -> Option<PoolStatus> {
         if !self.is_owner() {
