Several gangs can have workers kept for them, those with room first

Cause: in a full cell one gang at a time had workers kept for it, chosen by their capacity, so each waited for the longest task there: p99 1,133 s, worse than without reservations (829 s). Ruled out: the order of teams (gangs of one team wait alike).

Change: workers are chosen by when their tasks end, by declared run times; any number of gangs may wait with workers kept, up to a quarter of the pool.

--- a/components/driver/src/main.rs
+++ b/components/driver/src/main.rs
@@ -9,8 +9,12 @@
 mod report;
 mod workload;
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
 
 use clap::Parser;
 use errors::Result;
@@ -30,6 +34,9 @@
     /// Seed of all workloads.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Workloads that run at the same time.
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
     /// Only workloads whose name contains this text.
     #[arg(long, default_value = "")]
     only: String,
@@ -46,17 +53,38 @@
 }
 
 fn run(cli: &Cli) -> Result<()> {
-    let mut rows = Vec::new();
-    for workload in all_workloads(cli.seed) {
-        if workload.name.contains(&cli.only) {
-            rows.extend(run_workload(&workload));
-        }
-    }
+    let workloads: Vec<Workload> = all_workloads(cli.seed)
+        .into_iter()
+        .filter(|workload| workload.name.contains(&cli.only))
+        .collect();
+    let rows = run_all(&workloads, cli.threads);
     let speeds = if cli.only.is_empty() { index_speed::measure() } else { Vec::new() };
     report::write(&cli.out, &rows, &speeds)?;
     plots::write(&cli.out, &rows)
 }
 
+/// Runs all workloads, some at the same time. The rows are in the order of the workloads.
+fn run_all(workloads: &[Workload], threads: usize) -> Vec<Row> {
+    let next = AtomicUsize::new(0);
+    let results: Mutex<BTreeMap<usize, Vec<Row>>> = Mutex::default();
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                while let Some((number, workload)) = take_next(workloads, &next) {
+                    let rows = run_workload(workload);
+                    results.lock().unwrap_or_else(PoisonError::into_inner).insert(number, rows);
+                }
+            });
+        }
+    });
+    results.into_inner().unwrap_or_else(PoisonError::into_inner).into_values().flatten().collect()
+}
+
+fn take_next<'a>(workloads: &'a [Workload], next: &AtomicUsize) -> Option<(usize, &'a Workload)> {
+    let number = next.fetch_add(1, Ordering::Relaxed);
+    workloads.get(number).map(|workload| (number, workload))
+}
+
 /// Runs one workload through the core, the core with each mechanism off, and the baselines.
 fn run_workload(workload: &Workload) -> Vec<Row> {
     let mut rows = Vec::new();
--- a/components/driver/src/workload.rs
+++ b/components/driver/src/workload.rs
@@ -172,7 +172,10 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one line of a workload, given in one place each")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one line of a workload, given in one place each"
+    )]
     fn push(
         &mut self,
         at: Millis,
--- a/components/pool/src/lifecycle.rs
+++ b/components/pool/src/lifecycle.rs
@@ -191,6 +191,7 @@
         self.journal = Journal::new(self.settings.pool.clone(), self.settings.me.clone());
         self.jobs = Jobs::default();
         self.queue = WorkQueue::default();
+        self.reservations.clear();
         self.requests = Requests::default();
         self.limits.reset();
         self.forget_limit_calls();
--- a/components/pool/src/place.rs
+++ b/components/pool/src/place.rs
@@ -9,6 +9,7 @@
 use crate::jobs::Blocked;
 use crate::limits::Amount;
 use crate::pool::Pool;
+use crate::workers::Worker;
 
 /// Jobs of one team that are tried before the next team is.
 const LOOKAHEAD: usize = 4;
@@ -16,13 +17,14 @@
 const TASKS_PER_STEP: usize = 512;
 /// Time after which workers are kept for a gang that does not fit.
 const RESERVE_AFTER_MS: Millis = Millis(5_000);
+/// Part of all workers that may be kept for gangs at the same time, in percent.
+const MAX_RESERVED_PERCENT: usize = 25;
 /// Longest time for which workers are kept for a gang.
 const RESERVE_FOR_MS: Millis = Millis(600_000);
 
 /// Workers that are kept for a gang.
 #[derive(Debug)]
 pub(crate) struct Reservation {
-    pub(crate) job: JobId,
     pub(crate) workers: BTreeSet<WorkerId>,
     pub(crate) since: Millis,
 }
@@ -37,7 +39,7 @@
             return;
         }
         self.needs_placing = false;
-        self.drop_stale_reservation(now);
+        self.drop_stale_reservations(now);
         let mut budget = TASKS_PER_STEP;
         for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
             self.place_priority(now, priority, &mut budget);
@@ -146,23 +148,20 @@
             self.set_blocked(id, Blocked::Limit);
             return 0;
         }
-        let holds_reservation =
-            self.reservation.as_ref().is_some_and(|reservation| reservation.job == *id);
+        let holds_reservation = self.reservations.contains_key(id);
         if holds_reservation {
-            self.set_reserved(false);
+            self.set_reserved(id, false);
         }
         let Some(workers) = self.find_gang_workers(id, waiting.len()) else {
             self.set_blocked(id, Blocked::NoRoom);
             if holds_reservation {
-                self.set_reserved(true);
+                self.set_reserved(id, true);
             } else {
                 self.reserve_for(now, id);
             }
             return 0;
         };
-        if holds_reservation {
-            self.reservation = None;
-        }
+        self.reservations.remove(id);
         for (index, worker) in waiting.iter().zip(&workers) {
             self.place_task(now, id, *index, worker);
         }
@@ -187,43 +186,39 @@
     }
 
     /// Keeps enough workers for a gang that has waited for long, so that smaller work does not
-    /// take each room that becomes free. One gang at a time has workers kept for it.
+    /// take each room that becomes free. The workers are those on which there is room first.
     fn reserve_for(&mut self, now: Millis, id: &JobId) {
+        let reserved: usize = self.reservations.values().map(|one| one.workers.len()).sum();
+        let most = self.workers.by_id.len() * MAX_RESERVED_PERCENT / 100;
         let Some(job) = self.jobs.get_mut(id) else { return };
         let since = *job.reserved_since.get_or_insert(now);
-        if !self.settings.mechanisms.reservations
-            || self.reservation.is_some()
-            || now.since(since) < RESERVE_AFTER_MS
-        {
+        if !self.settings.mechanisms.reservations || now.since(since) < RESERVE_AFTER_MS {
             return;
         }
         let need = job.spec.per_task;
-        let mut missing = job.waiting.len() as u64;
-        let mut candidates: Vec<(u64, WorkerId)> = self
+        let missing = job.waiting.len();
+        let mut rooms: Vec<(Millis, &WorkerId)> = self
             .workers
             .by_id
             .iter()
             .filter(|(_, worker)| worker.is_open())
-            .map(|(id, worker)| (room_without_batch(worker, &need), id.clone()))
-            .filter(|(tasks, _)| *tasks > 0)
+            .flat_map(|(id, worker)| room_times(worker, &need).into_iter().map(move |at| (at, id)))
             .collect();
-        candidates.sort_by_key(|(tasks, _)| Reverse(*tasks));
-        let mut workers = BTreeSet::new();
-        for (tasks, worker) in candidates {
-            if missing == 0 {
-                break;
-            }
-            missing = missing.saturating_sub(tasks);
-            workers.insert(worker);
+        rooms.sort();
+        if rooms.len() < missing {
+            return;
         }
-        if missing == 0 {
-            self.reservation = Some(Reservation { job: id.clone(), workers, since: now });
-            self.set_reserved(true);
+        let workers: BTreeSet<WorkerId> =
+            rooms.into_iter().take(missing).map(|(_, id)| id.clone()).collect();
+        if reserved + workers.len() > most {
+            return;
         }
+        self.reservations.insert(id.clone(), Reservation { workers, since: now });
+        self.set_reserved(id, true);
     }
 
-    fn set_reserved(&mut self, reserved: bool) {
-        let Some(reservation) = &self.reservation else { return };
+    fn set_reserved(&mut self, job: &JobId, reserved: bool) {
+        let Some(reservation) = self.reservations.get(job) else { return };
         for id in reservation.workers.clone() {
             if let Some(worker) = self.workers.by_id.get_mut(&id) {
                 worker.reserved = reserved;
@@ -232,28 +227,51 @@
         }
     }
 
-    fn drop_stale_reservation(&mut self, now: Millis) {
-        let Some(reservation) = &self.reservation else { return };
-        let waits = self.jobs.get(&reservation.job).is_some_and(|job| !job.waiting.is_empty());
-        if waits && now.since(reservation.since) < RESERVE_FOR_MS {
-            return;
-        }
-        self.set_reserved(false);
-        if let Some(job) = self.reservation.take().and_then(|old| self.jobs.get_mut(&old.job)) {
-            job.reserved_since = None;
+    fn drop_stale_reservations(&mut self, now: Millis) {
+        let is_stale = |job: &JobId, reservation: &Reservation| {
+            let waits = self.jobs.get(job).is_some_and(|job| !job.waiting.is_empty());
+            !waits || now.since(reservation.since) >= RESERVE_FOR_MS
+        };
+        let stale: Vec<JobId> = self
+            .reservations
+            .iter()
+            .filter(|(job, one)| is_stale(job, one))
+            .map(|(job, _)| job.clone())
+            .collect();
+        for id in stale {
+            self.set_reserved(&id, false);
+            self.reservations.remove(&id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.reserved_since = None;
+            }
         }
     }
 }
 
-/// How many tasks a worker could hold once its tasks with an end have ended.
-fn room_without_batch(worker: &crate::workers::Worker, need: &Resources) -> u64 {
-    let services = worker.tasks.values().filter(|task| task.run_ms == Millis(0));
-    let kept = services.fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
-    let mut room = worker.info.capacity.minus(&kept);
-    let mut tasks = 0;
-    while room.holds(need) && tasks < u64::from(u16::MAX) {
-        room = room.minus(need);
-        tasks += 1;
+/// For each task that a worker could hold once its tasks with an end have ended: when there is room
+/// for it, by the declared run times. The order of the result is that of the tasks.
+fn room_times(worker: &Worker, need: &Resources) -> Vec<Millis> {
+    let granted =
+        worker.tasks.values().fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
+    let mut free = worker.info.capacity.minus(&granted);
+    let mut ends: Vec<(Millis, Resources)> = worker
+        .tasks
+        .values()
+        .filter(|task| task.run_ms > Millis(0))
+        .map(|task| (task.placed_at + task.run_ms, task.resources))
+        .collect();
+    ends.sort_by_key(|(at, _)| *at);
+    let mut times = Vec::new();
+    let mut at = Millis(0);
+    let mut ends = ends.into_iter();
+    loop {
+        if free.holds(need) && *need != Resources::ZERO {
+            free = free.minus(need);
+            times.push(at);
+            continue;
+        }
+        let Some((end, resources)) = ends.next() else { return times };
+        at = end;
+        free = free.plus(&resources);
     }
-    tasks
 }
--- a/components/pool/src/pool.rs
+++ b/components/pool/src/pool.rs
@@ -141,8 +141,8 @@
     pub(crate) shares: Shares,
     pub(crate) limits: Limits,
     pub(crate) random: StdRng,
-    /// Workers that are kept for a gang until all of it fits.
-    pub(crate) reservation: Option<Reservation>,
+    /// Workers that are kept for gangs until all of each fits.
+    pub(crate) reservations: BTreeMap<JobId, Reservation>,
     pub(crate) needs_placing: bool,
     pub(crate) needs_granting: bool,
     next_attempt: Attempt,
@@ -172,7 +172,7 @@
             shares: Shares::default(),
             limits: Limits::new(settings.pool.clone()),
             random: StdRng::seed_from_u64(settings.random_seed),
-            reservation: None,
+            reservations: BTreeMap::new(),
             needs_placing: false,
             needs_granting: false,
             next_attempt: Attempt::default(),
--- a/components/testbed/src/bench/slopes.rs
+++ b/components/testbed/src/bench/slopes.rs
@@ -57,8 +57,12 @@
     /// The least-squares line of each series: its value at size 0 and its slope.
     fn lines(&self) -> String {
         let mut text = "series,at_zero,slope\n".to_owned();
-        let mut names: Vec<&str> = self.points.iter().map(|point| point.series).collect();
-        names.dedup();
+        let mut names: Vec<&str> = Vec::new();
+        for point in &self.points {
+            if !names.contains(&point.series) {
+                names.push(point.series);
+            }
+        }
         for name in names {
             let points: Vec<&Point> =
                 self.points.iter().filter(|point| point.series == name).collect();
