--- a/components/pool/src/grants.rs
+++ b/components/pool/src/grants.rs
@@ -16,6 +16,8 @@
 
 /// Time after a claim in which requests wait for runners to be attached.
 const ATTACH_GRACE_MS: Millis = Millis(2_000);
+/// Slots that a team under a limit asks for at once.
+const GRANTS_AT_ONCE: u64 = 8;
 /// When a caller may ask again about a request in progress.
 const IN_PROGRESS_RETRY_MS: Millis = Millis(500);
 /// A poll without an answer counts as failed after this time.
@@ -210,7 +212,7 @@
     fn grant_or_commit(&mut self, now: Millis, id: &RequestId) -> bool {
         let Some(request) = self.requests.live.get(id) else { return false };
         if let Some(team) = request.ask.team.clone()
-            && !self.limits.allows(&team, &Amount::one_slot())
+            && !self.limits.allows(&team, &Amount::one_slot(), &Amount::slots(GRANTS_AT_ONCE))
         {
             return false;
         }
--- a/components/pool/src/limits.rs
+++ b/components/pool/src/limits.rs
@@ -76,7 +76,11 @@
     }
 
     pub(crate) fn one_slot() -> Self {
-        Self { resources: Resources::ZERO, slots: 1 }
+        Self::slots(1)
+    }
+
+    pub(crate) fn slots(slots: u64) -> Self {
+        Self { resources: Resources::ZERO, slots }
     }
 }
 
@@ -86,6 +90,15 @@
     }
 }
 
+/// What a team was refused.
+#[derive(Debug, Clone, Copy, Default)]
+struct Need {
+    /// What it must be able to use for the next start.
+    least: Amount,
+    /// What it could use at once.
+    desired: Amount,
+}
+
 /// One team in a bucket's document.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 struct TeamSlices {
@@ -127,7 +140,9 @@
     slices: BTreeMap<TeamId, Amount>,
     used: BTreeMap<TeamId, Amount>,
     /// What a team was refused since the last write.
-    needs: BTreeMap<TeamId, Amount>,
+    needs: BTreeMap<TeamId, Need>,
+    /// Number of pools that share the limits.
+    pools: u64,
     limits: BTreeMap<TeamId, Amount>,
     /// What any team may be using unseen, on back ends that are not attached yet.
     unknown: Amount,
@@ -151,6 +166,7 @@
             slices: BTreeMap::new(),
             used: BTreeMap::new(),
             needs: BTreeMap::new(),
+            pools: 1,
             limits: BTreeMap::new(),
             buckets: (0..BUCKETS).map(|_| bucket()).collect(),
         }
@@ -159,7 +175,7 @@
     /// Forgets slices and use, because another process owns the pool or this one has just become owner.
     pub(crate) fn reset(&mut self) {
         let limits = std::mem::take(&mut self.limits);
-        *self = Self { limits, ..Self::new(self.pool.clone()) };
+        *self = Self { limits, pools: self.pools, ..Self::new(self.pool.clone()) };
     }
 
     /// Takes the limits of new rules. Buckets with a changed limit are read at once.
@@ -172,6 +188,7 @@
             .map(|(team, _)| team.clone())
             .collect();
         self.limits = limits;
+        self.pools = rules.pools().count().max(1) as u64;
         for team in changed {
             self.buckets[bucket_of(&team)].urgent = true;
             if let Some(slice) = self.slices.get_mut(&team) {
@@ -200,15 +217,18 @@
         self.limits.get(team).copied()
     }
 
-    /// Whether the team may use `need` more. A refusal is remembered, so that more is asked for.
-    pub(crate) fn allows(&mut self, team: &TeamId, need: &Amount) -> bool {
+    /// Whether the team may use `need` more. A refusal is remembered, so that more is asked for, if
+    /// possible enough for the whole `demand`.
+    pub(crate) fn allows(&mut self, team: &TeamId, need: &Amount, demand: &Amount) -> bool {
         let Some(slice) = self.slice(team) else { return true };
         let wanted = self.used(team).plus(need);
         if slice.covers(&wanted.plus(&self.unknown)) {
             return true;
         }
+        let used = self.used(team);
         let entry = self.needs.entry(team.clone()).or_default();
-        *entry = entry.max(&wanted);
+        entry.least = entry.least.max(&wanted);
+        entry.desired = entry.desired.max(&used.plus(demand));
         false
     }
 
@@ -352,8 +372,10 @@
         let slice = match self.needs.get(team) {
             Some(need) => {
                 let chunk = if wanted_elsewhere { Amount::default() } else { chunk_of(&limit) };
-                let mine = need.plus(&chunk).max(&current.min(&used.plus(&chunk))).min(&available);
-                if mine.covers(&need.min(&limit)) {
+                let even_part = limit.map2(&limit, |bound, _| bound / self.pools);
+                let asked = need.least.plus(&chunk).max(&need.desired.min(&even_part));
+                let mine = asked.max(&current.min(&used.plus(&chunk))).min(&available);
+                if mine.covers(&need.least.min(&limit)) {
                     entry.wanted_by.remove(&self.pool);
                 } else {
                     entry.wanted_by.insert(self.pool.clone());
--- a/components/pool/src/place.rs
+++ b/components/pool/src/place.rs
@@ -93,7 +93,8 @@
         let need = job.spec.per_task;
         let team = job.spec.team.clone();
         let is_urgent = job.spec.priority == Priority::Urgent;
-        if !self.limits.allows(&team, &Amount::of_resources(need)) {
+        let demand = Amount::of_resources(need.times(job.waiting.len() as u64));
+        if !self.limits.allows(&team, &Amount::of_resources(need), &demand) {
             self.set_blocked(id, Blocked::Limit);
             return 0;
         }
@@ -144,7 +145,8 @@
         let waiting: Vec<u32> = job.waiting.iter().copied().collect();
         let total = job.spec.per_task.times(waiting.len() as u64);
         let team = job.spec.team.clone();
-        if !self.limits.allows(&team, &Amount::of_resources(total)) {
+        let total = Amount::of_resources(total);
+        if !self.limits.allows(&team, &total, &total) {
             self.set_blocked(id, Blocked::Limit);
             return 0;
         }
--- a/components/testbed/src/bench/main.rs
+++ b/components/testbed/src/bench/main.rs
@@ -1,5 +1,6 @@
 //! `carobsill-load`: measures a deployment on this machine and writes what it measured.
 
+mod in_force;
 mod load;
 mod slopes;
 mod takeover;
@@ -28,6 +29,12 @@
         #[arg(long, default_value = "docs/data/slopes.csv")]
         out: PathBuf,
     },
+    /// Time until a change of the rules is in force in every entry.
+    InForce {
+        /// Changes.
+        #[arg(long, default_value_t = 50)]
+        changes: u64,
+    },
     /// Time without answers after an owner is killed.
     Takeover {
         /// Kills.
@@ -40,6 +47,7 @@
     let result: Result<()> = match Cli::parse().command {
         Command::Load(args) => load::run(&args),
         Command::Slopes { out } => slopes::run(&out),
+        Command::InForce { changes } => in_force::run(changes),
         Command::Takeover { kills } => takeover::run(kills),
     };
     match result {
