--- a/components/backends/src/http.rs
+++ b/components/backends/src/http.rs
@@ -1,8 +1,7 @@
 //! What all clients share.
 
-use errors::Error;
 use libs::ureq::http::Response;
-use libs::ureq::{self, Agent, Body};
+use libs::ureq::{Agent, Body};
 use types::Millis;
 
 /// Idle connections kept over all back ends.
@@ -27,19 +26,6 @@
         .into()
 }
 
-/// Tells calls that were surely not sent from those that may have arrived.
-pub(crate) fn call_error(error: &ureq::Error) -> Error {
-    let never_sent = match error {
-        ureq::Error::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
-        ureq::Error::Timeout(stage) => {
-            matches!(stage, ureq::Timeout::Connect | ureq::Timeout::Resolve)
-        }
-        _ => false,
-    };
-    if never_sent { Error::Net(error.to_string()) } else { Error::Unanswered(error.to_string()) }
-}
-
 /// A header of an answer as text.
 pub(crate) fn header<'a>(response: &'a Response<Body>, name: &str) -> Option<&'a str> {
     response.headers().get(name).and_then(|value| value.to_str().ok())
--- a/components/backends/src/runner.rs
+++ b/components/backends/src/runner.rs
@@ -7,7 +7,7 @@
 use libs::ureq::{Agent, Body};
 use types::{Answer, Epoch, Millis, QueueId, RunnerReport, SlotGrant};
 
-use crate::http::{call_error, header, new_agent, number_header};
+use crate::http::{header, new_agent, number_header};
 use crate::vendor::adapter_for;
 
 /// Largest report of a runner, in bytes.
@@ -47,7 +47,7 @@
     pub fn poll(&self, url: &str, form: VendorForm, epoch: Epoch) -> Result<RunnerReport> {
         let call = self.agent.get(format!("{url}/state")).header("X-Epoch", epoch.to_string());
         let sent = call.config().timeout_global(Some(POLL_TIMEOUT_MS.to_duration())).build().call();
-        let mut response = sent.map_err(|error| call_error(&error))?;
+        let mut response = sent.map_err(|error| Error::from_call(&error))?;
         let status = response.status().as_u16();
         if status == 409 {
             return Err(Error::Refused(status, "runner".to_owned()));
@@ -78,7 +78,7 @@
         let sent = call.config().timeout_global(Some(timeout_ms.to_duration())).build().send(body);
         match sent {
             Ok(response) => read_answer(response, grant),
-            Err(error) => match call_error(&error) {
+            Err(error) => match Error::from_call(&error) {
                 Error::Net(_) => RunResult::NotStarted,
                 _ => RunResult::Lost,
             },
--- a/components/backends/src/vms.rs
+++ b/components/backends/src/vms.rs
@@ -4,8 +4,6 @@
 use libs::ureq::Agent;
 use types::{Millis, Vm};
 
-use crate::http::call_error;
-
 /// Largest list, in bytes.
 const MAX_LIST_BYTES: u64 = 16 << 20;
 /// Longest time that reading the list may take.
@@ -14,7 +12,7 @@
 /// Reads the list of live and leaving VMs, which may be out of date.
 pub fn fetch_vms(agent: &Agent, url: &str) -> Result<Vec<Vm>> {
     let call = agent.get(url).config().timeout_global(Some(LIST_TIMEOUT_MS.to_duration())).build();
-    let mut response = call.call().map_err(|error| call_error(&error))?;
+    let mut response = call.call().map_err(|error| Error::from_call(&error))?;
     if response.status().as_u16() != 200 {
         return Err(Error::Refused(response.status().as_u16(), "list of VMs".to_owned()));
     }
--- a/components/backends/src/worker.rs
+++ b/components/backends/src/worker.rs
@@ -4,7 +4,7 @@
 use libs::ureq::Agent;
 use types::{Millis, SyncAnswer, SyncRequest};
 
-use crate::http::{call_error, new_agent};
+use crate::http::new_agent;
 
 /// Largest answer of a worker, in bytes.
 const MAX_ANSWER_BYTES: u64 = 4 << 20;
@@ -35,7 +35,7 @@
             .timeout_global(Some(SYNC_TIMEOUT_MS.to_duration()))
             .build()
             .send_json(request);
-        let mut response = sent.map_err(|error| call_error(&error))?;
+        let mut response = sent.map_err(|error| Error::from_call(&error))?;
         match response.status().as_u16() {
             200 => response
                 .body_mut()
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -17,15 +17,14 @@
 use std::thread;
 
 use backends::RunnerClient;
-use clock::{CancellationToken, Timer};
+use clock::CancellationToken;
 use config::Settings;
 use errors::Result;
-use kv::HttpStore;
 use libs::crossbeam_channel::bounded;
 use libs::log::info;
 use metrics::Metrics;
 use net::Mesh;
-use node::{Node, RulesWatch, new_identity};
+use node::Services;
 use timeline::{EventKind, Timeline};
 use types::{Holder, Millis, NodeId, Role};
 
@@ -78,46 +77,31 @@
 
 /// Runs the process until it is told to stop, and then until requests in progress have ended.
 pub fn run(settings: &Settings, token: &CancellationToken) -> Result<()> {
-    // Transports must outlive the token, because requests in progress still need them.
-    let services = CancellationToken::new();
-    let identity = new_identity(settings.process.name.clone());
-    let metrics = Metrics::new(settings.statsd);
-    let timeline = Timeline::start(identity.clone(), settings.timeline_path.as_deref())?;
     let (peers_in, peers_out) = bounded(PEER_RING);
     let (inputs_in, inputs_out) = bounded(INPUT_RING);
-    let mesh = Mesh::start(
-        identity.clone(),
-        settings.process.listen,
-        &settings.tls,
-        peers_in,
-        timeline.clone(),
-        metrics.clone(),
-        services.clone(),
-    )?;
-    let store = Arc::new(HttpStore::new(
-        &settings.kv.url,
-        settings.kv.call_timeout_ms,
-        settings.kv.reads_per_s,
-        settings.kv.writes_per_s,
-        metrics.clone(),
-    ));
-    let watch = RulesWatch::start(store, inputs_in.clone(), Input::Rules, services.clone())?;
-    let timer = Timer::start(services.clone())?;
-    timer.subscribe(settings.timing.heartbeat_ms, inputs_in, Input::Heartbeat);
+    let services = Services::start(settings, peers_in, &inputs_in, Input::Rules)?;
+    services.timer.subscribe(settings.timing.heartbeat_ms, inputs_in, Input::Heartbeat);
+    let timeline = &services.timeline;
     let shared = Arc::new(Shared {
-        identity: identity.clone(),
+        identity: services.identity.clone(),
         settings: settings.clone(),
         view: SharedView::default(),
         calls: Calls::default(),
-        mesh: mesh.clone(),
+        mesh: services.mesh.clone(),
         runners: RunnerClient::default(),
         budget: RetryBudget::default(),
-        metrics,
+        metrics: services.metrics.clone(),
         timeline: timeline.clone(),
     });
-    let node =
-        Node::new(identity, Role::Entry, settings, mesh, timeline.clone(), watch, clock::now());
-    Control::start(node, shared.clone(), inputs_out, peers_out, token.clone(), services.clone())?;
+    let node = services.node(Role::Entry, settings);
+    Control::start(
+        node,
+        shared.clone(),
+        inputs_out,
+        peers_out,
+        token.clone(),
+        services.token.clone(),
+    )?;
     let front = HttpFront::start(shared.clone())?;
     timeline.record(EventKind::ProcessReady, "", "");
     info!("entry {} serves callers on {}", settings.process.name, settings.http.listen);
@@ -126,7 +110,7 @@
     info!("stopping: requests in progress are served to their end");
     thread::sleep(DRAIN_MS.to_duration());
     front.stop(settings.timing.shutdown_ms);
-    services.cancel();
+    services.token.cancel();
     // Lets the last messages and lines leave.
     thread::sleep(FAREWELL_MS.to_duration());
     Ok(())
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -3,6 +3,7 @@
 //! Outcomes of requests and jobs are values, not errors: see `types::Outcome`.
 
 use libs::quick_error::quick_error;
+use libs::ureq;
 
 quick_error! {
     /// Everything that can go wrong outside the decision logic.
@@ -48,5 +49,20 @@
     }
 }
 
+impl Error {
+    /// The error of an HTTP call: `Net` if it was surely not sent, `Unanswered` if it may have arrived.
+    pub fn from_call(error: &ureq::Error) -> Self {
+        let never_sent = match error {
+            ureq::Error::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
+            ureq::Error::Timeout(stage) => {
+                matches!(stage, ureq::Timeout::Connect | ureq::Timeout::Resolve)
+            }
+            _ => false,
+        };
+        if never_sent { Self::Net(error.to_string()) } else { Self::Unanswered(error.to_string()) }
+    }
+}
+
 /// Result with the shared error type.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/components/kv/src/http.rs
+++ b/components/kv/src/http.rs
@@ -5,7 +5,7 @@
 
 use errors::{Error, Result};
 use libs::ureq::http::Response;
-use libs::ureq::{self, Agent, Body};
+use libs::ureq::{Agent, Body};
 use metrics::Metrics;
 use types::Millis;
 
@@ -72,7 +72,7 @@
 
     fn read(&self, url: &str, timeout: Duration) -> Result<Option<Stored>> {
         let sent = self.agent.get(url).config().timeout_global(Some(timeout)).build().call();
-        let mut response = sent.map_err(|error| classify_error(&error))?;
+        let mut response = sent.map_err(|error| Error::from_call(&error))?;
         match response.status().as_u16() {
             200 => read_value(&mut response).map(Some),
             304 | 404 => Ok(None),
@@ -95,7 +95,7 @@
             .timeout_global(Some(self.call_timeout_ms.to_duration()))
             .build()
             .send(value);
-        let response = sent.map_err(|error| classify_error(&error))?;
+        let response = sent.map_err(|error| Error::from_call(&error))?;
         let version = version_of(&response);
         match response.status().as_u16() {
             200 => version,
@@ -120,7 +120,7 @@
             .timeout_global(Some(self.call_timeout_ms.to_duration()))
             .build()
             .call();
-        let response = sent.map_err(|error| classify_error(&error))?;
+        let response = sent.map_err(|error| Error::from_call(&error))?;
         match response.status().as_u16() {
             200 | 404 => Ok(()),
             status => Err(refusal(status)),
@@ -148,16 +148,3 @@
         .map_err(|error| Error::Unanswered(error.to_string()))?;
     Ok(Stored { version, value })
 }
-
-/// Tells errors before the request was sent from those that leave its effect open.
-fn classify_error(error: &ureq::Error) -> Error {
-    let never_sent = match error {
-        ureq::Error::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
-        ureq::Error::Timeout(stage) => {
-            matches!(stage, ureq::Timeout::Connect | ureq::Timeout::Resolve)
-        }
-        _ => false,
-    };
-    if never_sent { Error::Net(error.to_string()) } else { Error::Unanswered(error.to_string()) }
-}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,9 +6,11 @@
 mod logging;
 mod node;
 mod rules_watch;
+mod services;
 
 pub use args::ProcessArgs;
 pub use identity::new_identity;
 pub use logging::start_logging;
 pub use node::{Node, NodeChange};
 pub use rules_watch::{RULES_KEY, RulesNews, RulesWatch};
+pub use services::Services;
--- /dev/null
+++ b/components/pool/src/inventory.rs
@@ -0,0 +1,139 @@
+//! The back ends that the platform's list names, and the index of workers.
+
+use placement::WorkerSlot;
+use timeline::EventKind;
+use types::{BackendState, Millis, Resources, RunnerInfo, WorkerId, WorkerInfo};
+
+use crate::pool::{FollowUp, Pool};
+use crate::record::Record;
+use crate::runners::Runner;
+use crate::workers::Worker;
+
+impl Pool {
+    /// Takes the platform's list. A back end that it no longer names is treated as leaving.
+    pub(crate) fn set_backends(
+        &mut self,
+        now: Millis,
+        workers: Vec<WorkerInfo>,
+        runners: Vec<RunnerInfo>,
+    ) {
+        let mut unlisted: Vec<WorkerId> = Vec::new();
+        for (id, worker) in &mut self.workers.by_id {
+            if worker.listed && !workers.iter().any(|info| info.worker == *id) {
+                worker.listed = false;
+                unlisted.push(id.clone());
+            }
+        }
+        for info in workers {
+            self.set_worker(info);
+        }
+        for id in unlisted {
+            self.update_open(&id);
+        }
+        self.drop_unneeded_workers();
+        for runner in self.runners.by_id.values_mut() {
+            runner.listed = runners.iter().any(|info| info.runner == runner.info.runner);
+        }
+        for info in runners {
+            let id = info.runner.clone();
+            match self.runners.by_id.get_mut(&id) {
+                Some(runner) => runner.info = info,
+                None => {
+                    self.runners.by_id.insert(id, Runner::new(info));
+                }
+            }
+        }
+        self.runners.by_id.retain(|_, runner| {
+            let may_run = !runner.grants.is_empty() && runner.state != BackendState::Down;
+            runner.listed || may_run || runner.lapse_at.is_some_and(|at| at > now)
+        });
+        self.needs_placing = true;
+    }
+
+    pub(crate) fn set_worker(&mut self, info: WorkerInfo) {
+        let id = info.worker.clone();
+        if let Some(worker) = self.workers.by_id.get_mut(&id) {
+            if worker.listed && worker.info == info {
+                return;
+            }
+            let capacity_changed = worker.info.capacity != info.capacity;
+            let left_now = info.leaving && !worker.info.leaving;
+            worker.info = info;
+            worker.listed = true;
+            if left_now {
+                self.record_event(EventKind::WorkerLeaving, id.as_str(), "");
+            }
+            if capacity_changed {
+                self.index_worker(&id);
+            }
+        } else {
+            self.workers.by_id.insert(id.clone(), Worker::new(info, true));
+            self.index_worker(&id);
+        }
+        self.update_open(&id);
+        self.shares.set_total(self.index.total());
+    }
+
+    /// Drops workers that are not listed and surely run nothing.
+    pub(crate) fn drop_unneeded_workers(&mut self) {
+        let unneeded: Vec<WorkerId> = self
+            .workers
+            .by_id
+            .iter()
+            .filter(|(id, worker)| {
+                let may_run = !worker.tasks.is_empty() || self.workers.unresolved.contains(*id);
+                !worker.listed && !may_run && !worker.joining
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unneeded {
+            if self.workers.by_id.get(&id).is_some_and(|worker| worker.joined) {
+                self.append(Record::WorkerLeft(id.clone()), None);
+            }
+            self.workers.by_id.remove(&id);
+            self.index.remove(&id);
+        }
+    }
+
+    pub(crate) fn rebuild_index(&mut self) {
+        self.index = placement::Index::default();
+        let ids: Vec<WorkerId> = self.workers.by_id.keys().cloned().collect();
+        for id in &ids {
+            self.index_worker(id);
+        }
+        self.shares.set_total(self.index.total());
+    }
+
+    pub(crate) fn index_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.by_id.get(id) else { return };
+        let granted =
+            worker.tasks.values().fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
+        let slot = WorkerSlot {
+            rack: worker.info.rack.clone(),
+            capacity: worker.info.capacity,
+            free: worker.info.capacity.minus(&granted),
+            open: worker.is_open(),
+        };
+        self.index.insert(id.clone(), slot);
+    }
+
+    /// Opens or closes a worker in the index after something about it has changed.
+    pub(crate) fn update_open(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.by_id.get(id) else { return };
+        let open = worker.is_open();
+        if self.index.get(id).is_some_and(|slot| slot.open != open) {
+            self.index.set_open(id, open);
+            self.needs_placing |= open;
+        }
+    }
+
+    pub(crate) fn join_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        if worker.joined || worker.joining {
+            return;
+        }
+        worker.joining = true;
+        let url = worker.info.url.clone();
+        self.append(Record::WorkerJoined(id.clone(), url), Some(FollowUp::Joined(id.clone())));
+    }
+}
--- a/components/pool/src/lib.rs
+++ b/components/pool/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod event;
 mod grants;
+mod inventory;
 mod jobs;
 mod journal;
 mod lifecycle;
@@ -15,9 +16,11 @@
 mod preempt;
 mod queue;
 mod record;
+mod recovery;
 mod requests;
 mod runners;
 mod shares;
+mod sync;
 mod tasks;
 mod view;
 mod workers;
--- /dev/null
+++ b/components/pool/src/sync.rs
@@ -0,0 +1,287 @@
+//! Messages to workers, and what their answers mean for the tasks on them.
+
+use std::collections::BTreeMap;
+
+use timeline::EventKind;
+use types::{Attempt, JobKind, Millis, RunningTask, SyncAnswer, TaskId, WorkerEnd, WorkerId};
+
+use crate::event::{Action, CallFailure};
+use crate::jobs::TaskState;
+use crate::pool::Pool;
+use crate::record::TaskEnd;
+use crate::workers::{Phase, lapse_after};
+
+/// Failures of a task after which it counts as failed for good.
+const MAX_TASK_FAILURES: u32 = 3;
+
+impl Pool {
+    /// Sends the syncs that are due.
+    pub(crate) fn sync_workers(&mut self, now: Millis) {
+        if !self.trusted {
+            return;
+        }
+        let epoch = self.journal.epoch();
+        let lease_ms = self.settings.lease_ms;
+        let due: Vec<WorkerId> = self
+            .workers
+            .by_id
+            .iter()
+            .filter(|(_, worker)| worker.link.call.is_none())
+            .filter(|(_, worker)| {
+                let has_news = worker.attached && !worker.link.is_suspect() && worker.has_news();
+                worker.link.next_call_at <= now || has_news
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let call = self.new_call();
+            let Some(worker) = self.workers.by_id.get_mut(&id) else { continue };
+            let request = worker.build_sync(call, epoch, lease_ms, now);
+            let suspect = worker.link.is_suspect();
+            let url = worker.info.url.clone();
+            self.push(Action::SyncWorker { worker: id, url, call, suspect, request });
+        }
+    }
+
+    pub(crate) fn worker_answered(
+        &mut self,
+        now: Millis,
+        id: &WorkerId,
+        call: u64,
+        answer: Result<SyncAnswer, CallFailure>,
+    ) {
+        if !self.is_owner() {
+            return;
+        }
+        let poll_ms = self.settings.poll_ms;
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        if worker.link.call.is_none_or(|(current, _)| current != call) {
+            return;
+        }
+        match answer {
+            Err(CallFailure::StaleEpoch) => self.lose_ownership(Vec::new()),
+            Err(_) => {
+                worker.link.failed(now, poll_ms);
+                self.update_open(id);
+            }
+            Ok(answer) => self.reconcile(now, id, call, answer),
+        }
+    }
+
+    /// Compares what a worker says with what this owner believes.
+    pub(crate) fn reconcile(&mut self, now: Millis, id: &WorkerId, call: u64, answer: SyncAnswer) {
+        let (lease_ms, poll_ms) = (self.settings.lease_ms, self.settings.poll_ms);
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        let restarted =
+            worker.link.incarnation != 0 && worker.link.incarnation != answer.incarnation;
+        let first_time = !worker.attached;
+        worker.link.incarnation = answer.incarnation;
+        worker.link.remote_clock_ms = answer.clock_ms;
+        worker.link.heard_at = now;
+        worker.link.call = None;
+        worker.link.failures = 0;
+        worker.lapse_at = Some(lapse_after(now, lease_ms));
+        worker.attached = true;
+        worker.forget.retain(|task| answer.finished.iter().any(|finished| finished.task == *task));
+        worker.strays.clear();
+        let was_forgotten = worker.forget.clone();
+        for finished in &answer.finished {
+            if !was_forgotten.contains(&finished.task) {
+                self.take_finished(now, id, &finished.task, finished.attempt, finished.end);
+            }
+        }
+        for running in &answer.running {
+            self.take_running(now, id, running);
+        }
+        self.requeue_missing(id, call, restarted, &answer);
+        if first_time {
+            self.resolve_worker(id);
+            self.record_event(EventKind::WorkerAttached, id.as_str(), "");
+            self.join_worker(id);
+        }
+        if let Some(worker) = self.workers.by_id.get_mut(id) {
+            worker.link.next_call_at =
+                if first_time { now } else { worker.next_sync_after(now, poll_ms, lease_ms) };
+        }
+        self.update_open(id);
+    }
+
+    pub(crate) fn take_finished(
+        &mut self,
+        now: Millis,
+        id: &WorkerId,
+        task: &TaskId,
+        attempt: Attempt,
+        end: WorkerEnd,
+    ) {
+        let placed = self.workers.by_id.get(id).and_then(|worker| worker.tasks.get(task));
+        let is_ours = placed.is_some_and(|placed| placed.attempt == attempt);
+        if !is_ours {
+            self.take_foreign_finished(id, task, end);
+            return;
+        }
+        match end {
+            WorkerEnd::Done | WorkerEnd::Failed if self.is_service(task) => {
+                self.note_worker_end(now, id, task, end == WorkerEnd::Failed);
+                self.requeue(id, task);
+                self.forget_on(id, task);
+            }
+            WorkerEnd::Done => {
+                self.note_worker_end(now, id, task, false);
+                self.end_placed(id, task, TaskEnd::Done);
+            }
+            WorkerEnd::Failed => {
+                self.note_worker_end(now, id, task, true);
+                self.take_failure(id, task);
+            }
+            WorkerEnd::Stopped => self.take_stopped(id, task),
+            WorkerEnd::Refused => {
+                self.requeue(id, task);
+                self.forget_on(id, task);
+            }
+        }
+    }
+
+    pub(crate) fn is_service(&self, task: &TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(|job| job.spec.kind == JobKind::Service)
+    }
+
+    /// A task that this owner did not place there ended, or one that was placed elsewhere since.
+    pub(crate) fn take_foreign_finished(&mut self, id: &WorkerId, task: &TaskId, end: WorkerEnd) {
+        let waits = self.task_state(task) == Some(TaskState::Waiting);
+        if waits && end == WorkerEnd::Done {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.set_ended(task.index, TaskEnd::Done);
+            }
+            self.drop_from_queue_if_placed(&task.job);
+            self.keep_task_end(id, task, TaskEnd::Done);
+        } else if waits && !self.may_rerun(task) {
+            let end = if end == WorkerEnd::Failed { TaskEnd::Failed } else { TaskEnd::Unknown };
+            self.end_waiting(id, task, end);
+        } else if !self.is_end_uncommitted(task) {
+            self.forget_on(id, task);
+        }
+    }
+
+    /// Whether a task has ended but the worker must remember that until the commit.
+    pub(crate) fn is_end_uncommitted(&self, task: &TaskId) -> bool {
+        let ended_here = matches!(self.task_state(task), Some(TaskState::Ended(_)));
+        let durable = self.journal.state().jobs.get(&task.job);
+        let committed = durable.is_none_or(|job| job.ended.contains_key(&task.index));
+        !committed && (ended_here || self.jobs.get(&task.job).is_none())
+    }
+
+    pub(crate) fn note_worker_end(
+        &mut self,
+        now: Millis,
+        id: &WorkerId,
+        task: &TaskId,
+        failed: bool,
+    ) {
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        if self.settings.mechanisms.quarantine && worker.note_end(task.job.as_str(), failed, now) {
+            let detail = format!("{} tasks in a row failed", worker.failures_in_row);
+            self.record_event(EventKind::WorkerQuarantined, id.as_str(), &detail);
+        }
+        self.update_open(id);
+    }
+
+    /// A task failed by itself. It is tried again on another worker unless it failed too often.
+    pub(crate) fn take_failure(&mut self, id: &WorkerId, task: &TaskId) {
+        let worker_is_bad =
+            self.workers.by_id.get(id).is_some_and(|worker| worker.quarantined_until.is_some());
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            self.end_placed(id, task, TaskEnd::Failed);
+            return;
+        };
+        if !job.spec.idempotent {
+            self.end_placed(id, task, TaskEnd::Failed);
+            return;
+        }
+        job.failed_on.insert(id.clone());
+        let failures = job.failures.entry(task.index).or_default();
+        if !worker_is_bad {
+            *failures += 1;
+        }
+        if *failures >= MAX_TASK_FAILURES {
+            self.end_placed(id, task, TaskEnd::Failed);
+        } else {
+            self.requeue(id, task);
+            self.forget_on(id, task);
+        }
+    }
+
+    /// A task was stopped, by order of this owner or because its lease ran out.
+    pub(crate) fn take_stopped(&mut self, id: &WorkerId, task: &TaskId) {
+        if self.may_rerun(task) {
+            self.requeue(id, task);
+            self.forget_on(id, task);
+        } else {
+            self.end_placed(id, task, TaskEnd::Unknown);
+        }
+    }
+
+    pub(crate) fn take_running(&mut self, now: Millis, id: &WorkerId, running: &RunningTask) {
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        if let Some(placed) = worker.tasks.get_mut(&running.task)
+            && placed.attempt == running.attempt
+        {
+            if placed.phase != Phase::Running {
+                placed.phase = Phase::Running;
+                self.record_event(EventKind::TaskStarted, &running.task.to_string(), id.as_str());
+            }
+            return;
+        }
+        let waits_unseen = self.jobs.get(&running.task.job).is_some_and(|job| {
+            job.recovering && job.task(running.task.index) == Some(&TaskState::Waiting)
+        });
+        if waits_unseen {
+            self.adopt_running(now, id, running);
+            return;
+        }
+        let Some(worker) = self.workers.by_id.get_mut(id) else { return };
+        if worker.tasks.contains_key(&running.task) {
+            // An earlier try of a task that is placed here again.
+            worker.strays.insert(running.task.clone(), running.attempt);
+        } else {
+            self.adopt_orphan(now, id, running);
+        }
+    }
+
+    /// Tasks that were sent before this answer, and of which the worker says nothing, do not run.
+    pub(crate) fn requeue_missing(
+        &mut self,
+        id: &WorkerId,
+        call: u64,
+        restarted: bool,
+        answer: &SyncAnswer,
+    ) {
+        let Some(worker) = self.workers.by_id.get(id) else { return };
+        let told: BTreeMap<&TaskId, Attempt> = answer
+            .running
+            .iter()
+            .map(|running| (&running.task, running.attempt))
+            .chain(answer.finished.iter().map(|finished| (&finished.task, finished.attempt)))
+            .collect();
+        let missing: Vec<(TaskId, bool)> = worker
+            .tasks
+            .iter()
+            .filter(|(task, placed)| {
+                let was_sent = match placed.phase {
+                    Phase::Running => true,
+                    Phase::Sent(first_sent) => first_sent <= call,
+                    Phase::Queued | Phase::Committing => false,
+                };
+                was_sent && told.get(task) != Some(&placed.attempt)
+            })
+            .map(|(task, placed)| (task.clone(), placed.phase == Phase::Running || restarted))
+            .collect();
+        for (task, may_have_run) in missing {
+            if may_have_run && !self.may_rerun(&task) {
+                self.end_placed(id, &task, TaskEnd::Unknown);
+            } else {
+                self.requeue(id, &task);
+            }
+        }
+    }
+}
--- a/components/scheduler/src/decisions.rs
+++ b/components/scheduler/src/decisions.rs
@@ -13,7 +13,7 @@
 use membership::assign_pools;
 use metrics::Metrics;
 use net::Mesh;
-use node::{Node, NodeChange};
+use node::{Node, NodeChange, Services};
 use pool::{Action, Event, Mechanisms, Pool, PoolSettings, ReplyTo};
 use timeline::Timeline;
 use types::{
@@ -57,25 +57,16 @@
 }
 
 impl Decisions {
-    #[expect(clippy::too_many_arguments, reason = "the parts of the process, each given once")]
-    pub(crate) fn new(
-        identity: NodeId,
-        settings: Settings,
-        node: Node,
-        mesh: Mesh,
-        lanes: Lanes,
-        timeline: Timeline,
-        metrics: Metrics,
-        now: Millis,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, node: Node, services: &Services, lanes: Lanes) -> Self {
+        let now = clock::now();
         Self {
-            identity,
+            identity: services.identity.clone(),
             settings,
             node,
-            mesh,
+            mesh: services.mesh.clone(),
             lanes,
-            timeline,
-            metrics,
+            timeline: services.timeline.clone(),
+            metrics: services.metrics.clone(),
             pools: BTreeMap::new(),
             vms: Vec::new(),
             started_at: now,
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -8,19 +8,15 @@
 mod uses;
 mod vms_watch;
 
-use std::sync::Arc;
 use std::thread;
 
-use clock::{CancellationToken, Timer};
+use clock::CancellationToken;
 use config::Settings;
 use errors::Result;
-use kv::HttpStore;
 use libs::crossbeam_channel::bounded;
 use libs::log::info;
-use metrics::Metrics;
-use net::Mesh;
-use node::{Node, RulesWatch, new_identity};
-use timeline::{EventKind, Timeline};
+use node::Services;
+use timeline::EventKind;
 use types::{Millis, Role};
 
 use crate::decisions::Decisions;
@@ -36,61 +32,21 @@
 
 /// Runs the process until it is told to stop, and then until its pools are handed over.
 pub fn run(settings: &Settings, token: &CancellationToken) -> Result<()> {
-    // Transports must outlive the decisions, which hand pools over after the token is cancelled.
-    let services = CancellationToken::new();
-    let identity = new_identity(settings.process.name.clone());
-    let metrics = Metrics::new(settings.statsd);
-    let timeline = Timeline::start(identity.clone(), settings.timeline_path.as_deref())?;
     let (peers_in, peers_out) = bounded(PEER_RING);
     let (inputs_in, inputs_out) = bounded(INPUT_RING);
-    let mesh = Mesh::start(
-        identity.clone(),
-        settings.process.listen,
-        &settings.tls,
-        peers_in,
-        timeline.clone(),
-        metrics.clone(),
-        services.clone(),
-    )?;
-    let store = Arc::new(HttpStore::new(
-        &settings.kv.url,
-        settings.kv.call_timeout_ms,
-        settings.kv.reads_per_s,
-        settings.kv.writes_per_s,
-        metrics.clone(),
-    ));
-    let watch =
-        RulesWatch::start(store.clone(), inputs_in.clone(), Input::Rules, services.clone())?;
-    vms_watch::start(settings, inputs_in.clone(), services.clone())?;
-    let timer = Timer::start(services.clone())?;
-    timer.subscribe(TICK_MS, inputs_in.clone(), Input::Tick);
-    timer.subscribe(settings.timing.heartbeat_ms, inputs_in.clone(), Input::Heartbeat);
-    let lanes = Lanes::start(store, &inputs_in, &metrics)?;
-    let now = clock::now();
-    let node = Node::new(
-        identity.clone(),
-        Role::Scheduler,
-        settings,
-        mesh.clone(),
-        timeline.clone(),
-        watch,
-        now,
-    );
-    let mut decisions = Decisions::new(
-        identity,
-        settings.clone(),
-        node,
-        mesh,
-        lanes,
-        timeline.clone(),
-        metrics,
-        now,
-    );
+    let services = Services::start(settings, peers_in, &inputs_in, Input::Rules)?;
+    vms_watch::start(settings, inputs_in.clone(), services.token.clone())?;
+    services.timer.subscribe(TICK_MS, inputs_in.clone(), Input::Tick);
+    services.timer.subscribe(settings.timing.heartbeat_ms, inputs_in.clone(), Input::Heartbeat);
+    let lanes = Lanes::start(services.store.clone(), &inputs_in, &services.metrics)?;
+    let node = services.node(Role::Scheduler, settings);
+    let mut decisions = Decisions::new(settings.clone(), node, &services, lanes);
+    let timeline = &services.timeline;
     timeline.record(EventKind::ProcessReady, "", "");
     info!("scheduler {} is ready on {}", settings.process.name, settings.process.listen);
     decisions.run(&inputs_out, &peers_out, token);
     timeline.record(EventKind::ProcessStopping, "", "");
-    services.cancel();
+    services.token.cancel();
     // Lets the last messages and lines leave.
     thread::sleep(Millis(100).to_duration());
     Ok(())
