An ask that arrives again is never taken for the holder's next ask; clocks drift in the schedules

Our streams deliver at most once, but the pool must not rely on that. Now intents and live requests name the ask by its number; only a later ask of the same holder counts.

--- a/components/pool/src/grants.rs
+++ b/components/pool/src/grants.rs
@@ -32,6 +32,9 @@
             self.send(from.address, Message::SlotRefusal(ask.call, outcome));
             return;
         }
+        if self.is_repeated(&ask) {
+            return;
+        }
         if let Some(outcome) = self.settle_at_once(now, &ask) {
             self.push(Action::Count("requests.settled_at_once"));
             self.send(from.address, Message::SlotRefusal(ask.call, outcome));
@@ -51,6 +54,12 @@
         self.needs_granting = true;
     }
 
+    /// Whether this very ask arrived before. Its answer is on its way already.
+    fn is_repeated(&self, ask: &RequestAsk) -> bool {
+        let live = self.requests.live.get(&ask.request).map(|live| &live.ask);
+        live.is_some_and(|live| live.holder == ask.holder && ask.call <= live.call)
+    }
+
     /// The outcome of an ask that need not or must not wait for a slot.
     fn settle_at_once(&mut self, now: Millis, ask: &RequestAsk) -> Option<Outcome> {
         if !ask.idempotent
@@ -97,7 +106,7 @@
             }
             Some(RequestEnd::NotRun) => None,
             // The holder of the only grant asks again: it did not use that grant and never will.
-            None if known.holder == ask.holder => None,
+            None if known.holder == ask.holder && ask.call > known.call => None,
             None if self.requests.live.contains_key(&ask.request) => None,
             None if now < self.runners.former_runs_end_at => {
                 Some(Outcome::InProgress { retry_after_ms: IN_PROGRESS_RETRY_MS })
@@ -224,6 +233,7 @@
             request: id.clone(),
             content_hash: request.ask.content_hash,
             holder: request.ask.holder.clone(),
+            call: request.ask.call,
             attempt: request.attempt,
         };
         self.requests.leave_line(id, Stage::Committing);
--- a/components/pool/src/limits.rs
+++ b/components/pool/src/limits.rs
@@ -460,3 +460,7 @@
 fn decode(bytes: &[u8]) -> errors::Result<BucketDoc> {
     postcard::from_bytes(bytes).map_err(|error| Error::Codec(error.to_string()))
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/limits.rs"]
+mod tests;
--- a/components/pool/src/record.rs
+++ b/components/pool/src/record.rs
@@ -7,8 +7,8 @@
 use libs::postcard;
 use serde::{Deserialize, Serialize};
 use types::{
-    Attempt, Epoch, Holder, JobId, JobSpec, JobState, NodeId, PoolId, RequestId, TaskCounts,
-    TaskId, WorkerId,
+    Attempt, CallId, Epoch, Holder, JobId, JobSpec, JobState, NodeId, PoolId, RequestId,
+    TaskCounts, TaskId, WorkerId,
 };
 
 /// Ended jobs whose outcome is kept.
@@ -57,6 +57,8 @@
         content_hash: u64,
         /// The only one that gets the grant.
         holder: Holder,
+        /// The holder's ask that the grant answers. Later asks of a holder have higher numbers.
+        call: CallId,
         /// The try.
         attempt: Attempt,
     },
@@ -97,6 +99,8 @@
     pub content_hash: u64,
     /// Who got, or may have got, the grant.
     pub holder: Holder,
+    /// The holder's ask that the grant answers.
+    pub call: CallId,
     /// The newest try.
     pub attempt: Attempt,
     /// How it ended; none while it may still run.
@@ -137,10 +141,11 @@
                 }
             }
             Record::TaskEnded(task, end) => self.end_task(task, *end),
-            Record::RequestIntent { request, content_hash, holder, attempt } => {
+            Record::RequestIntent { request, content_hash, holder, call, attempt } => {
                 let entry = DurableRequest {
                     content_hash: *content_hash,
                     holder: holder.clone(),
+                    call: *call,
                     attempt: *attempt,
                     end: None,
                 };
--- a/components/pool/tests/world/callers.rs
+++ b/components/pool/tests/world/callers.rs
@@ -49,6 +49,10 @@
     waits: Waits,
     deadline_at: u64,
     may_have_run: bool,
+    /// Number of asks so far.
+    asks: u64,
+    /// The newest ask, as it was sent.
+    last_ask: Option<Event>,
 }
 
 fn entry_id(entry: usize) -> NodeId {
@@ -142,6 +146,8 @@
             waits: Waits::Nothing,
             deadline_at: self.now + patience,
             may_have_run: false,
+            asks: 0,
+            last_ask: None,
         });
         let caller = self.callers.len() - 1;
         self.send_after(1, Delivery::Wake(caller));
@@ -200,8 +206,8 @@
 
     /// Number of the call of a caller's newest ask. Earlier calls are dropped.
     fn new_call(&mut self, index: usize) -> CallId {
-        let salt: u64 = self.random.random_range(0..1 << 30);
-        CallId(((index as u64) << 32) | salt)
+        self.callers[index].asks += 1;
+        CallId(((index as u64) << 32) | self.callers[index].asks)
     }
 
     fn ask(&mut self, index: usize) {
@@ -238,9 +244,17 @@
             }
             _ => return,
         };
+        self.callers[index].last_ask = Some(event.clone());
         self.send_to_node(owner, event);
     }
 
+    /// The newest ask of a caller arrives once more, at whoever owns the pool.
+    pub fn repeat_ask(&mut self, index: usize) {
+        let Some(event) = self.callers[index].last_ask.clone() else { return };
+        let Some(owner) = self.owner() else { return };
+        self.send_after(1, Delivery::Node(owner, event));
+    }
+
     fn send_to_node(&mut self, node: usize, event: Event) {
         let copies = if self.is_lost() { 0 } else { 1 };
         let doubled = usize::from(self.is_lost());
--- a/components/pool/tests/world/nodes.rs
+++ b/components/pool/tests/world/nodes.rs
@@ -23,6 +23,8 @@
     pub inbox: Vec<Event>,
     /// Its own clock is the world's plus this.
     offset: u64,
+    /// Its own clock's speed, in parts per thousand of the world's.
+    rate: u64,
     /// Since when it is cut off.
     cut_since: Option<u64>,
     /// When it was last able to send heartbeats.
@@ -48,12 +50,15 @@
             mechanisms: Mechanisms::default(),
         });
         let offset = random.random_range(0..100_000);
+        // Not drawn from the world's numbers, so that kept seeds keep their schedules.
+        let rate = 996 + offset % 9;
         Self {
             pool,
             id,
             dead: false,
             inbox: Vec::new(),
             offset,
+            rate,
             cut_since: None,
             heard_at: 0,
             incarnation,
@@ -76,7 +81,8 @@
         }
         let waiting = std::mem::take(&mut self.sims[node].inbox);
         for event in waiting.into_iter().chain([event]) {
-            let now = Millis(self.now + self.sims[node].offset);
+            let sim = &self.sims[node];
+            let now = Millis(self.now * sim.rate / 1_000 + sim.offset);
             let actions = self.sims[node].pool.step(now, event);
             for action in actions {
                 self.act(node, action);
