--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -44,7 +44,7 @@
 /// Time after SIGTERM in which new requests are still served, so that the balancer can react.
 const DRAIN_MS: Millis = Millis(1_000);
 /// Time in which the last messages and time line events leave.
-const FAREWELL_MS: Millis = Millis(100);
+const FLUSH_MS: Millis = Millis(100);
 /// Period of looking whether requests in progress have ended.
 const DRAIN_POLL_MS: Millis = Millis(20);
 
@@ -112,7 +112,7 @@
     front.stop(settings.timing.shutdown_ms);
     services.token.cancel();
     // Lets the last messages and lines leave.
-    thread::sleep(FAREWELL_MS.to_duration());
+    thread::sleep(FLUSH_MS.to_duration());
     Ok(())
 }
 
--- a/components/testbed/src/load.rs
+++ b/components/testbed/src/load.rs
@@ -216,33 +216,34 @@
     }
 
     /// Answers that contradict what really ran.
-    pub fn lies(&self, runs: &[TruthRun], idempotent: bool) -> Vec<String> {
+    pub fn contradictions(&self, runs: &[TruthRun], idempotent: bool) -> Vec<String> {
         let mut by_request: BTreeMap<&str, Vec<&TruthRun>> = BTreeMap::new();
         for run in runs.iter().filter(|run| run.kind == "request") {
             by_request.entry(&run.id).or_default().push(run);
         }
-        let mut lies = Vec::new();
+        let mut contradictions = Vec::new();
         for told in self.told.iter().filter(|told| !told.request.is_empty()) {
             let own_runs =
                 by_request.get(told.request.as_str()).map(Vec::as_slice).unwrap_or_default();
             let completed = own_runs.iter().any(|run| run.completed);
             match told.outcome.as_str() {
                 "ran" if !completed => {
-                    lies.push(format!("told that {} ran, but it did not", told.request))
+                    contradictions.push(format!("told that {} ran, but it did not", told.request))
                 }
                 "ran" if !told.is_own => {
-                    lies.push(format!("{} got another request's answer", told.request))
+                    contradictions.push(format!("{} got another request's answer", told.request))
                 }
                 "not_run" if !own_runs.is_empty() => {
-                    lies.push(format!("told that {} did not run, but it did", told.request));
+                    contradictions
+                        .push(format!("told that {} did not run, but it did", told.request));
                 }
                 _ => {}
             }
             if !idempotent && own_runs.len() > 1 {
-                lies.push(format!("{} ran {} times", told.request, own_runs.len()));
+                contradictions.push(format!("{} ran {} times", told.request, own_runs.len()));
             }
         }
-        lies
+        contradictions
     }
 
     /// The longest time in which nobody was told that a request ran.
--- a/components/testbed/src/process.rs
+++ b/components/testbed/src/process.rs
@@ -67,7 +67,7 @@
     }
 
     /// Lets a frozen process go on.
-    pub fn thaw(&self) {
+    pub fn resume(&self) {
         self.signal(Signal::SIGCONT);
     }
 
@@ -114,7 +114,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.thaw();
+        self.resume();
         self.kill();
     }
 }
--- a/components/testbed/tests/faults.rs
+++ b/components/testbed/tests/faults.rs
@@ -40,8 +40,8 @@
     let truth = deployment.truth().unwrap();
     assert!(truth.doubled.is_empty(), "ran in two places: {:?}", truth.doubled);
     assert!(truth.overfilled.is_empty(), "{:?}", truth.overfilled);
-    let lies = report.lies(&deployment.runs().unwrap(), idempotent);
-    assert!(lies.is_empty(), "{lies:?}");
+    let contradictions = report.contradictions(&deployment.runs().unwrap(), idempotent);
+    assert!(contradictions.is_empty(), "{contradictions:?}");
 }
 
 #[test]
@@ -81,7 +81,7 @@
     assert!(moved, "nobody took the pool over");
     // Longer than the lease of 4 s that the frozen process believes to hold.
     std::thread::sleep(Duration::from_secs(5));
-    deployment.schedulers[owner].thaw();
+    deployment.schedulers[owner].resume();
     wait_told(&orders, 200);
     assert!(deployment.wait_until(PATIENCE, all_run), "{:?}", deployment.job(0, &FARMER, &job));
     check(&deployment, &orders.stop(), false);
@@ -106,7 +106,7 @@
     let order =
         deployment.post_request(0, "orders", &FARMER, &[("Idempotency-Key", "o")], "x").unwrap();
     assert_ne!(order.outcome, "ran", "an order ran although its intent could not be kept");
-    deployment.platform.thaw();
+    deployment.platform.resume();
     let all_done = deployment.wait_until(PATIENCE, |deployment| {
         jobs.iter()
             .all(|job| deployment.job(0, &MILLER, job).is_ok_and(|job| job["state"] == "done"))
--- a/components/testbed/tests/keys.rs
+++ b/components/testbed/tests/keys.rs
@@ -42,7 +42,7 @@
             200
         );
     }
-    deployment.platform.thaw();
+    deployment.platform.resume();
 }
 
 #[test]
