The fake membership counts a node's own pause as silence, as the real one does

The trace shows the fake at fault: a node that was paused while cut off was trusted for 3 s after it went on, because its silence was counted from then. Members does not do that: after a pause nothing is trusted until peers were heard anew, and that has its own test. The fake now counts from the last exchanged heartbeat, which is as strict.

--- a/components/pool/tests/world/nodes.rs
+++ b/components/pool/tests/world/nodes.rs
@@ -25,9 +25,7 @@
     offset: u64,
     /// Its own clock's speed, in parts per thousand of the world's.
     rate: u64,
-    /// Since when it is cut off.
-    cut_since: Option<u64>,
-    /// When it was last able to send heartbeats.
+    /// When it last exchanged heartbeats with the others.
     pub heard_at: u64,
     incarnation: u64,
 }
@@ -52,17 +50,7 @@
         let offset = random.random_range(0..100_000);
         // Not drawn from the world's numbers, so that kept seeds keep their schedules.
         let rate = 996 + offset % 9;
-        Self {
-            pool,
-            id,
-            dead: false,
-            inbox: Vec::new(),
-            offset,
-            rate,
-            cut_since: None,
-            heard_at: 0,
-            incarnation,
-        }
+        Self { pool, id, dead: false, inbox: Vec::new(), offset, rate, heard_at: 0, incarnation }
     }
 }
 
@@ -188,10 +176,8 @@
 
     fn beat_node(&mut self, node: usize) {
         let connected = self.is_connected(node);
-        let cut_since =
-            if connected { None } else { Some(self.sims[node].cut_since.unwrap_or(self.now)) };
-        self.sims[node].cut_since = cut_since;
-        let trusted = cut_since.is_none_or(|since| self.now - since < UNCONFIRMED);
+        // As in `membership`: what counts is when it last heard others, also over a pause of its own.
+        let trusted = self.now - self.sims[node].heard_at < UNCONFIRMED;
         self.give_event(node, Event::Trusted(trusted));
         if !connected {
             return;
