A runner's end of lapse, which was never set, is gone

Found on reading the whole change: Runner::lapse_at was always None, so its check in set_backends never held; with it goes the time that was passed there. No behaviour changes.

Seen there and left, because it changes behaviour: an unlisted runner that is down is dropped with its grants, whose slots stay counted against their teams' limits until the pool changes its owner.

--- a/components/pool/src/inventory.rs
+++ b/components/pool/src/inventory.rs
@@ -2,7 +2,7 @@
 
 use placement::WorkerSlot;
 use timeline::EventKind;
-use types::{BackendState, Millis, Resources, RunnerInfo, WorkerId, WorkerInfo};
+use types::{BackendState, Resources, RunnerInfo, WorkerId, WorkerInfo};
 
 use crate::pool::{FollowUp, Pool};
 use crate::record::Record;
@@ -11,12 +11,7 @@
 
 impl Pool {
     /// Takes the platform's list. A back end that it no longer names is treated as leaving.
-    pub(crate) fn set_backends(
-        &mut self,
-        now: Millis,
-        workers: Vec<WorkerInfo>,
-        runners: Vec<RunnerInfo>,
-    ) {
+    pub(crate) fn set_backends(&mut self, workers: Vec<WorkerInfo>, runners: Vec<RunnerInfo>) {
         let mut unlisted: Vec<WorkerId> = Vec::new();
         for (id, worker) in &mut self.workers.by_id {
             if worker.listed && !workers.iter().any(|info| info.worker == *id) {
@@ -45,7 +40,7 @@
         }
         self.runners.by_id.retain(|_, runner| {
             let may_run = !runner.grants.is_empty() && runner.state != BackendState::Down;
-            runner.listed || may_run || runner.lapse_at.is_some_and(|at| at > now)
+            runner.listed || may_run
         });
         self.needs_placing = true;
     }
--- a/components/pool/src/pool.rs
+++ b/components/pool/src/pool.rs
@@ -195,7 +195,7 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Rules(rules) => self.set_rules(rules),
-            Event::Backends(workers, runners) => self.set_backends(now, workers, runners),
+            Event::Backends(workers, runners) => self.set_backends(workers, runners),
             Event::Claim => self.claim(),
             Event::Release => self.release(),
             Event::PeerEpoch(epoch) => self.hear_epoch(epoch),
--- a/components/pool/src/runners.rs
+++ b/components/pool/src/runners.rs
@@ -49,8 +49,6 @@
     pub(crate) foreign: BTreeSet<RequestId>,
     failures_in_row: u32,
     ejected_until: Option<Millis>,
-    /// Whether it was counted as a runner that the former owner may have used.
-    pub(crate) lapse_at: Option<Millis>,
 }
 
 impl Runner {
@@ -68,7 +66,6 @@
             foreign: BTreeSet::new(),
             failures_in_row: 0,
             ejected_until: None,
-            lapse_at: None,
         }
     }
 
