--- /dev/null
+++ b/components/cell/src/advice.rs
@@ -0,0 +1,182 @@
+//! Whom to ask the advisor about, where and when.
+//!
+//! Load pattern: a call takes a fixed time and some more for each worker named, and the
+//! advisor serves one call at a time for each calling machine. Long calls of one queue must
+//! not hold up short calls of another, and tickets must be fresh when room appears.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use libs::compact_str::CompactString;
+use types::{Millis, WorkerId};
+
+use crate::model::AdvicePolicy;
+
+/// Workers named in the first call of a step: the callers' objective counts a call on 30.
+const FIRST_ASK_WORKERS: usize = 30;
+/// A ticket is used up to this long before it lapses, for the way to the worker.
+const TICKET_MARGIN_MS: Millis = Millis(120);
+/// Calls that take longer than this are long.
+const LONG_CALL_MS: f64 = 150.0;
+/// Pause after a failed call.
+const RETRY_MS: Millis = Millis(200);
+/// Work in progress up to which a machine takes another short call.
+const SHORT_BACKLOG_MS: f64 = 60.0;
+/// A machine whose call has no answer for this long is free again.
+const LOST_CALL_MS: Millis = Millis(4_000);
+
+/// A permission to run a step on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Ticket {
+    pub(crate) text: CompactString,
+    pub(crate) until_ms: Millis,
+    pub(crate) life_unix_ms: u64,
+}
+
+/// What is known about one step.
+#[derive(Debug, Default)]
+pub(crate) struct StepAdvice {
+    tickets: BTreeMap<WorkerId, Ticket>,
+    denied: BTreeSet<WorkerId>,
+    /// A call is in progress.
+    pub(crate) asking: bool,
+    not_before_ms: Millis,
+}
+
+impl StepAdvice {
+    /// The ticket for a worker, if it can still be used.
+    pub(crate) fn ticket(
+        &self,
+        worker: &WorkerId,
+        life_unix_ms: u64,
+        now: Millis,
+    ) -> Option<&Ticket> {
+        self.tickets.get(worker).filter(|ticket| {
+            ticket.until_ms > now + TICKET_MARGIN_MS && ticket.life_unix_ms == life_unix_ms
+        })
+    }
+
+    pub(crate) fn is_denied(&self, worker: &WorkerId) -> bool {
+        self.denied.contains(worker)
+    }
+
+    /// Drops a ticket that the worker refused.
+    pub(crate) fn drop_ticket(&mut self, worker: &WorkerId) {
+        self.tickets.remove(worker);
+    }
+
+    pub(crate) fn answered(
+        &mut self,
+        asked: &[(WorkerId, u64)],
+        allowed: &[(WorkerId, CompactString)],
+        until_ms: Millis,
+    ) {
+        self.asking = false;
+        for (worker, life_unix_ms) in asked {
+            match allowed.iter().find(|(id, _)| id == worker) {
+                Some((_, text)) => {
+                    let ticket =
+                        Ticket { text: text.clone(), until_ms, life_unix_ms: *life_unix_ms };
+                    self.tickets.insert(worker.clone(), ticket);
+                }
+                None => {
+                    self.denied.insert(worker.clone());
+                }
+            }
+        }
+    }
+
+    pub(crate) fn failed(&mut self, now: Millis) {
+        self.asking = false;
+        self.not_before_ms = now + RETRY_MS;
+    }
+
+    /// Workers to ask about for `tasks` more tasks, given candidates in order of preference.
+    ///
+    /// Workers known to be allowed come first, then unknown ones as long as few are known.
+    pub(crate) fn to_ask(
+        &self,
+        candidates: &[(WorkerId, u64)],
+        tasks: usize,
+        lead_ms: Millis,
+        now: Millis,
+    ) -> Vec<(WorkerId, u64)> {
+        if self.asking || now < self.not_before_ms {
+            return Vec::new();
+        }
+        let fresh = |id: &WorkerId, life| self.ticket(id, life, now + lead_ms).is_some();
+        let open = candidates.iter().filter(|(id, _)| !self.is_denied(id));
+        let (known, unknown): (Vec<_>, Vec<_>) =
+            open.partition(|(id, _)| self.tickets.contains_key(id));
+        let wanted = tasks.clamp(2, FIRST_ASK_WORKERS);
+        let stale: Vec<_> = known.iter().filter(|(id, life)| !fresh(id, *life)).copied().collect();
+        let fresh_known = known.len() - stale.len();
+        if known.is_empty() || (fresh_known == 0 && stale.is_empty()) {
+            return unknown.into_iter().take(FIRST_ASK_WORKERS).cloned().collect();
+        }
+        if fresh_known >= wanted {
+            return Vec::new();
+        }
+        let renewed = stale.len().min(wanted - fresh_known);
+        let more = wanted.saturating_sub(fresh_known + renewed);
+        stale.into_iter().take(renewed).chain(unknown.into_iter().take(more)).cloned().collect()
+    }
+}
+
+/// Time that a call takes at the advisor.
+pub(crate) fn call_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
+    policy.call_ms + policy.per_worker_ms * workers as f64
+}
+
+/// The machines that can call the advisor, with their work in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Callers {
+    machines: BTreeMap<CompactString, Vec<(u64, f64, Millis)>>,
+    next_call: u64,
+}
+
+impl Callers {
+    /// Replaces the list of machines; calls in progress on kept ones go on.
+    pub(crate) fn set_machines(&mut self, names: &[CompactString]) {
+        self.machines.retain(|name, _| names.contains(name));
+        for name in names {
+            self.machines.entry(name.clone()).or_default();
+        }
+    }
+
+    /// Takes a machine for a call, or none if all are busy enough.
+    ///
+    /// A third of the machines, at least one, takes only short calls.
+    pub(crate) fn reserve(&mut self, takes_ms: f64, now: Millis) -> Option<(CompactString, u64)> {
+        for calls in self.machines.values_mut() {
+            calls.retain(|(_, _, since)| now.since(*since) < LOST_CALL_MS);
+        }
+        let reserved = if self.machines.len() > 1 { (self.machines.len() / 3).max(1) } else { 0 };
+        let backlog = |calls: &Vec<(u64, f64, Millis)>| -> f64 {
+            calls
+                .iter()
+                .map(|(_, takes, since)| (takes - now.since(*since).0 as f64).max(1.0))
+                .sum()
+        };
+        let long = takes_ms > LONG_CALL_MS;
+        let limit_ms = if long { 1.0 } else { SHORT_BACKLOG_MS };
+        let skipped = if long { reserved } else { 0 };
+        let (name, calls) = self
+            .machines
+            .iter_mut()
+            .skip(skipped)
+            .map(|(name, calls)| (backlog(calls), name, calls))
+            .filter(|(busy_ms, ..)| *busy_ms < limit_ms)
+            .min_by(|(left, ..), (right, ..)| left.total_cmp(right))
+            .map(|(_, name, calls)| (name, calls))?;
+        self.next_call += 1;
+        calls.push((self.next_call, takes_ms, now));
+        Some((name.clone(), self.next_call))
+    }
+
+    /// A call has ended.
+    pub(crate) fn release(&mut self, call: u64) {
+        for calls in self.machines.values_mut() {
+            calls.retain(|(id, ..)| *id != call);
+        }
+    }
+}
--- /dev/null
+++ b/components/cell/src/ends.rs
@@ -0,0 +1,136 @@
+//! What the end of a run means for its task and its job.
+
+use eventlog::event;
+use types::{Millis, WorkerId};
+
+use crate::cell::{Cell, remove_use};
+use crate::job::Phase;
+use crate::looks::{EndedRun, Ending};
+use crate::model::Final;
+
+/// Pause before a failed task is tried again.
+const FAILED_RETRY_MS: Millis = Millis(20);
+/// Pause before a lasting task that failed is started again.
+const LASTING_RETRY_MS: Millis = Millis(100);
+
+impl Cell {
+    /// A worker lists the end of a run. Ends seen before are ignored.
+    pub(crate) fn run_ended(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if end.number <= worker.processed {
+            return;
+        }
+        worker.processed = end.number;
+        let key = &end.task;
+        let ours = worker.runs.get(key).is_some_and(|run| run.attempt == end.attempt);
+        let run = if ours { worker.remove_run(key) } else { None };
+        if let Some(run) = &run {
+            remove_use(&mut self.used_by_team, run);
+        }
+        self.changed = true;
+        event!("task.end", "task" => key.to_string(), "attempt" => end.attempt,
+            "worker" => id.as_str(), "how" => format!("{:?}", end.ending),
+            "number" => end.number, "known" => ours,
+            "ran_ms" => run.as_ref().map(|run| now.since(run.began_ms).0));
+        self.judge_worker(id, end, run.as_ref().map(|run| now.since(run.began_ms)), now);
+        self.settle_task(id, end, now);
+    }
+
+    /// Notes what the end says about the worker.
+    fn judge_worker(&mut self, id: &WorkerId, end: &EndedRun, ran_ms: Option<Millis>, now: Millis) {
+        let spec = self
+            .jobs
+            .get(&end.task.step.job)
+            .and_then(|job| job.record.spec.steps.get(usize::from(end.task.step.step)));
+        let estimate = spec.map_or(0, |spec| spec.estimate_ms.0);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match end.ending {
+            Ending::Done => {
+                let slowness =
+                    ran_ms.filter(|_| estimate > 0).map(|ran| ran.0 as f64 / estimate as f64);
+                worker.health.done(slowness.filter(|_| end.checkpoint.is_empty()));
+            }
+            Ending::Failed => worker.health.failed(&end.task.step.job, now),
+            Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone => {}
+        }
+    }
+
+    fn settle_task(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        let key = &end.task;
+        let policy = self.policy.clone();
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        if job.ended.is_some() {
+            return;
+        }
+        job.started = true;
+        let record = job.record.clone();
+        let Some(spec) = record.spec.steps.get(usize::from(key.step.step)) else { return };
+        let max_attempts = Cell::queue_policy(&policy, &record).max_attempts;
+        let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
+        let tasks = step.tasks.len() as u32;
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+        if task.phase == Phase::Done {
+            return;
+        }
+        let current = task.attempt == end.attempt && task.phase == Phase::Placed(id.clone());
+        // A run of a former leader that ended before we saw it.
+        let inherited = task.attempt < end.attempt && task.phase == Phase::Waiting;
+        if !end.checkpoint.is_empty() && (current || inherited) {
+            task.checkpoint = end.checkpoint.clone();
+        }
+        if inherited {
+            task.attempt = end.attempt;
+        }
+        self.dirty.insert(key.step.job.clone());
+        match end.ending {
+            Ending::Done if spec.lasting => task.not_before_ms = now + LASTING_RETRY_MS,
+            Ending::Done => {
+                let members = if spec.gang { 0..tasks } else { key.index..key.index + 1 };
+                for index in members {
+                    step.set_phase(index, Phase::Done);
+                }
+                self.after_done(end, now);
+                return;
+            }
+            Ending::Failed if spec.lasting => task.not_before_ms = now + LASTING_RETRY_MS,
+            Ending::Failed => {
+                task.not_before_ms = now + FAILED_RETRY_MS;
+                // A gang fails as one: its first task keeps the count.
+                let counted = if spec.gang { 0 } else { key.index as usize };
+                let Some(task) = step.tasks.get_mut(counted) else { return };
+                task.failures += 1;
+                let failures = task.failures;
+                if failures >= max_attempts {
+                    event!("job.failed", "job" => key.step.job.as_str(), "task" => key.to_string(),
+                        "failures" => failures, "max_attempts" => max_attempts);
+                    self.end_job(&key.step.job, Final::Failed, now);
+                    return;
+                }
+            }
+            Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone => {}
+        }
+        if current {
+            step.set_phase(key.index, Phase::Waiting);
+        }
+    }
+
+    /// A task is done: stops other runs of it, closes its occurrence and maybe its job.
+    fn after_done(&mut self, end: &EndedRun, now: Millis) {
+        let key = &end.task;
+        let others: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.runs.contains_key(key))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in others {
+            self.stop_run(&id, key, "done elsewhere", now);
+        }
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        if job.close_if_done(key.step.occurrence) {
+            event!("job.completed", "job" => key.step.job.as_str(),
+                "took_ms" => now.since(job.accepted_ms).0);
+            self.end_job(&key.step.job, Final::Completed, now);
+        }
+    }
+}
--- /dev/null
+++ b/components/cell/src/job.rs
@@ -0,0 +1,276 @@
+//! State of accepted jobs in memory.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use libs::compact_str::CompactString;
+use types::{Millis, WorkerId};
+
+use crate::advice::StepAdvice;
+use crate::model::{Final, JobRecord, JobStatus, Progress, StepProgress};
+
+/// Where a task stands.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) enum Phase {
+    /// Not running anywhere.
+    #[default]
+    Waiting,
+    /// On a worker, or maybe so.
+    Placed(WorkerId),
+    /// Its end `done` is known.
+    Done,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Task {
+    pub(crate) phase: Phase,
+    /// Number of the last run, 0 before the first.
+    pub(crate) attempt: u32,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: CompactString,
+    /// Not started before this time.
+    pub(crate) not_before_ms: Millis,
+}
+
+/// One step of one occurrence.
+#[derive(Debug, Default)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    /// Tasks in phase `Waiting`.
+    pub(crate) waiting: u32,
+    pub(crate) advice: StepAdvice,
+    /// Time at which its turn came.
+    pub(crate) ready_ms: Option<Millis>,
+}
+
+impl Step {
+    fn new(tasks: u32) -> Self {
+        Self { tasks: vec![Task::default(); tasks as usize], waiting: tasks, ..Self::default() }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Moves a task to another phase and keeps the counts.
+    pub(crate) fn set_phase(&mut self, index: u32, phase: Phase) {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return };
+        let count = |phase: &Phase| match phase {
+            Phase::Waiting => (1, 0),
+            Phase::Placed(_) => (0, 0),
+            Phase::Done => (0, 1),
+        };
+        let (was_waiting, was_done) = count(&task.phase);
+        let (is_waiting, is_done) = count(&phase);
+        self.waiting = self.waiting + is_waiting - was_waiting;
+        self.done = self.done + is_done - was_done;
+        task.phase = phase;
+    }
+}
+
+/// One occurrence of a job.
+#[derive(Debug)]
+pub(crate) struct Occurrence {
+    pub(crate) steps: Vec<Step>,
+}
+
+impl Occurrence {
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+}
+
+/// An accepted job.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) record: Rc<JobRecord>,
+    pub(crate) ended: Option<Final>,
+    /// The end is stored.
+    pub(crate) end_stored: bool,
+    /// Time at which the end became known, for forgetting.
+    pub(crate) ended_ms: Millis,
+    /// Time of acceptance on the process clock, for the objective.
+    pub(crate) accepted_ms: Millis,
+    /// Accepted before this scheduler became the leader.
+    pub(crate) inherited: bool,
+    /// Some task has started.
+    pub(crate) started: bool,
+    /// Open occurrences by number. Done ones are removed and counted.
+    pub(crate) open: BTreeMap<u32, Occurrence>,
+    /// Occurrences that are done, by number, below `next`.
+    pub(crate) done: Vec<u32>,
+    /// Next occurrence to open.
+    pub(crate) next: u32,
+    /// Longest chain of declared work, for the objective.
+    pub(crate) chain_ms: Millis,
+    /// Its team sent more than its share when it came.
+    pub(crate) over_share: bool,
+}
+
+impl Job {
+    pub(crate) fn new(record: JobRecord, accepted_ms: Millis) -> Self {
+        let chain_ms = longest_chain(&record);
+        let mut job = Self {
+            record: Rc::new(record),
+            ended: None,
+            end_stored: false,
+            ended_ms: Millis(0),
+            accepted_ms,
+            inherited: false,
+            started: false,
+            open: BTreeMap::new(),
+            done: Vec::new(),
+            next: 0,
+            chain_ms,
+            over_share: false,
+        };
+        if job.record.spec.timetable.is_none() {
+            job.open_next();
+        }
+        job
+    }
+
+    /// Number of occurrences in all.
+    pub(crate) fn times(&self) -> u32 {
+        self.record.spec.timetable.map_or(1, |timetable| timetable.times)
+    }
+
+    /// Due time of an occurrence, Unix milliseconds.
+    pub(crate) fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        match self.record.spec.timetable {
+            None => self.record.accepted_unix_ms,
+            Some(timetable) => {
+                timetable.first_unix_ms + u64::from(occurrence) * timetable.interval_ms.0
+            }
+        }
+    }
+
+    pub(crate) fn open_next(&mut self) {
+        let steps = self.record.spec.steps.iter().map(|step| Step::new(step.tasks)).collect();
+        self.open.insert(self.next, Occurrence { steps });
+        self.next += 1;
+    }
+
+    /// Opens the occurrences that are due.
+    pub(crate) fn open_due(&mut self, unix_ms: u64) {
+        while self.ended.is_none()
+            && self.next < self.times()
+            && self.due_unix_ms(self.next) <= unix_ms
+        {
+            self.open_next();
+        }
+    }
+
+    /// Closes an occurrence whose steps are all done. Returns whether the job is complete.
+    pub(crate) fn close_if_done(&mut self, occurrence: u32) -> bool {
+        if self.open.get(&occurrence).is_some_and(Occurrence::is_done) {
+            self.open.remove(&occurrence);
+            self.done.push(occurrence);
+        }
+        self.open.is_empty() && self.done.len() as u32 == self.times()
+    }
+
+    pub(crate) fn status(&self) -> JobStatus {
+        match self.ended {
+            Some(end) if self.end_stored || end == Final::Cancelled => JobStatus::Ended(end),
+            _ if self.started => JobStatus::Running,
+            _ => JobStatus::Queued,
+        }
+    }
+
+    pub(crate) fn step(&self, occurrence: u32, step: u16) -> Option<&Step> {
+        self.open.get(&occurrence)?.steps.get(usize::from(step))
+    }
+
+    pub(crate) fn step_mut(&mut self, occurrence: u32, step: u16) -> Option<&mut Step> {
+        self.open.get_mut(&occurrence)?.steps.get_mut(usize::from(step))
+    }
+
+    /// What to store.
+    pub(crate) fn progress(&self) -> Progress {
+        let whole = |_: &u32| Vec::new();
+        let mut occurrences: Vec<(u32, Vec<StepProgress>)> =
+            self.done.iter().map(|number| (*number, whole(number))).collect();
+        if self.ended.is_none() {
+            occurrences.extend(self.open.iter().map(|(number, occurrence)| {
+                (*number, occurrence.steps.iter().map(step_progress).collect())
+            }));
+        }
+        Progress { id: self.record.id.clone(), ended: self.ended, occurrences }
+    }
+
+    /// Takes over stored progress.
+    pub(crate) fn restore(&mut self, progress: &Progress) {
+        self.ended = progress.ended;
+        self.end_stored = progress.ended.is_some();
+        for (number, steps) in &progress.occurrences {
+            while self.next <= *number && self.next < self.times() {
+                self.open_next();
+            }
+            if steps.is_empty() {
+                self.open.remove(number);
+                self.done.push(*number);
+                self.started = true;
+                continue;
+            }
+            let Some(occurrence) = self.open.get_mut(number) else { continue };
+            for (step, stored) in occurrence.steps.iter_mut().zip(steps) {
+                restore_step(step, stored);
+                self.started |= !stored.done.is_empty() || !stored.failures.is_empty();
+            }
+        }
+        if self.ended.is_some() {
+            self.open.clear();
+        }
+    }
+}
+
+fn step_progress(step: &Step) -> StepProgress {
+    let mut progress = StepProgress::default();
+    for (index, task) in (0u32..).zip(&step.tasks) {
+        if task.phase == Phase::Done {
+            progress.done.push(index);
+            continue;
+        }
+        if task.failures > 0 {
+            progress.failures.push((index, task.failures));
+        }
+        if !task.checkpoint.is_empty() {
+            progress.checkpoints.push((index, task.checkpoint.clone()));
+        }
+    }
+    progress
+}
+
+fn restore_step(step: &mut Step, stored: &StepProgress) {
+    for index in &stored.done {
+        step.set_phase(*index, Phase::Done);
+    }
+    for (index, failures) in &stored.failures {
+        if let Some(task) = step.tasks.get_mut(*index as usize) {
+            task.failures = *failures;
+        }
+    }
+    for (index, checkpoint) in &stored.checkpoints {
+        if let Some(task) = step.tasks.get_mut(*index as usize) {
+            task.checkpoint = checkpoint.clone();
+        }
+    }
+}
+
+fn longest_chain(record: &JobRecord) -> Millis {
+    let mut until: Vec<u64> = Vec::new();
+    for step in &record.spec.steps {
+        let before = step
+            .after
+            .iter()
+            .filter_map(|earlier| until.get(usize::from(*earlier)))
+            .max()
+            .copied()
+            .unwrap_or(0);
+        until.push(before + step.estimate_ms.0);
+    }
+    Millis(until.into_iter().max().unwrap_or(0))
+}
--- /dev/null
+++ b/components/cell/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a cell: jobs of steps on workers under one leader, without I/O.
+//!
+//! The owner of a [`Cell`] feeds it what happened and carries out the [`Action`]s it returns.
+//! Times are milliseconds of one process clock unless a name says otherwise.
+
+mod advice;
+mod cell;
+mod ends;
+mod fit;
+mod health;
+mod job;
+mod looks;
+mod model;
+mod order;
+mod schedule;
+mod watch;
+mod worker;
+
+pub use cell::{
+    Action, Batch, Cell, CellSettings, LookOrder, PaceOrder, Refusal, StartAnswer, StartOrder,
+    StopOrder,
+};
+pub use looks::{ActiveRun, EndedRun, Ending, Look};
+pub use model::{
+    AdvicePolicy, Final, JobRecord, JobSpec, JobStatus, Policy, Progress, QueuePolicy, StepKey,
+    StepProgress, StepSpec, TaskKey, TeamPolicy, Timetable,
+};
+pub use worker::WorkerReport;
--- /dev/null
+++ b/components/cell/src/looks.rs
@@ -0,0 +1,307 @@
+//! What a worker shows of its runs, compared with what we believe.
+
+use eventlog::event;
+use libs::compact_str::CompactString;
+use types::{Millis, Resources, WorkerId};
+
+use crate::cell::{Cell, add_use, new_run};
+use crate::job::Phase;
+use crate::model::TaskKey;
+use crate::worker::{RunState, Worker};
+
+/// Looks in a row that must miss a run before it counts as lost.
+const LOST_LOOKS: u32 = 2;
+/// Pause before a task that a worker lost is tried again.
+const LOST_RETRY_MS: Millis = Millis(50);
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Its work is done.
+    Done,
+    /// It failed by its own fault or the worker's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+/// A run that has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndedRun {
+    /// Number of the end in this life of the worker, from 1.
+    pub number: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub attempt: u32,
+    /// How it ended.
+    pub ending: Ending,
+    /// Last checkpoint; empty if there is none.
+    pub checkpoint: CompactString,
+}
+
+/// A run that is on a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ActiveRun {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub attempt: u32,
+    /// Last checkpoint; empty if there is none.
+    pub checkpoint: CompactString,
+    /// Work done.
+    pub percent: u32,
+    /// Latency tail in milliseconds of a serving task, or processor use of others.
+    pub gauge: u64,
+}
+
+/// What a worker shows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Look {
+    /// Start of the life that answered, Unix milliseconds.
+    pub born_unix_ms: u64,
+    /// Its clock.
+    pub clock_ms: Millis,
+    /// Runs that are there.
+    pub active: Vec<ActiveRun>,
+    /// Runs that have ended and are not acknowledged, oldest first.
+    pub ended: Vec<EndedRun>,
+    /// There may be more ends than fitted into the answer.
+    pub more_ended: bool,
+}
+
+impl Cell {
+    /// A look was answered. `sent_ms` is when it was sent.
+    pub fn look_answered(&mut self, id: &WorkerId, sent_ms: Millis, look: &Look, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.attached && sent_ms < worker.looked_ms {
+            // A look that was sent later has been answered before.
+            return;
+        }
+        worker.looked_ms = sent_ms;
+        if !worker.reachable {
+            event!("worker.regained", "worker" => id.as_str(),
+                "silent_ms" => now.since(worker.heard_ms).0);
+        }
+        worker.reachable = true;
+        if look.born_unix_ms > worker.life_unix_ms {
+            self.worker_reborn_as(id, look.born_unix_ms, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.clock_ms = look.clock_ms;
+        worker.heard_ms = now;
+        let first = !worker.attached;
+        for end in &look.ended {
+            self.run_ended(id, end, now);
+        }
+        for active in &look.active {
+            self.run_seen(id, active, now);
+        }
+        self.runs_not_seen(id, sent_ms, look, now);
+        if first {
+            self.attached(id, look, now);
+        }
+    }
+
+    fn attached(&mut self, id: &WorkerId, look: &Look, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.attached = true;
+        self.changed = true;
+        event!("worker.attached", "worker" => id.as_str(), "active" => look.active.len(),
+            "ended" => look.ended.len(), "epoch" => self.epoch,
+            "after_ms" => now.since(worker.unlisted_ms).0);
+    }
+
+    /// A look failed: nothing is known of the worker until the next one.
+    pub fn look_failed(&mut self, id: &WorkerId, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.reachable {
+            event!("worker.lost", "worker" => id.as_str(), "runs" => worker.runs.len(),
+                "heard_ms_ago" => now.since(worker.heard_ms).0);
+        }
+        worker.reachable = false;
+    }
+
+    /// The list of workers shows a new life of a worker.
+    pub(crate) fn worker_reborn(&mut self, id: &WorkerId, now: Millis) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let born = worker.report.born_unix_ms;
+        self.worker_reborn_as(id, born, now);
+    }
+
+    /// Another life of the worker began: what the former one ran is gone.
+    ///
+    /// Orders that had no answer may still arrive at the new life. Those are stopped there
+    /// before their tasks run again.
+    fn worker_reborn_as(&mut self, id: &WorkerId, born_unix_ms: u64, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        event!("worker.reborn", "worker" => id.as_str(), "runs" => worker.runs.len());
+        worker.life_unix_ms = born_unix_ms;
+        worker.processed = 0;
+        worker.acked = 0;
+        worker.clock_ms = Millis(0);
+        worker.heard_ms = Millis(0);
+        worker.lease_ms = Millis(0);
+        worker.attached = false;
+        worker.unknown_until_ms = now;
+        worker.health = crate::health::Health::default();
+        let keys: Vec<(TaskKey, RunState)> =
+            worker.runs.iter().map(|(key, run)| (key.clone(), run.state)).collect();
+        for (key, state) in keys {
+            if state == RunState::Starting {
+                self.stop_run(id, &key, "worker started anew", now);
+            } else {
+                self.free_run(id, &key, LOST_RETRY_MS, now);
+            }
+        }
+    }
+
+    fn run_seen(&mut self, id: &WorkerId, active: &ActiveRun, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let key = &active.task;
+        match worker.runs.get_mut(key) {
+            Some(run) if run.attempt == active.attempt => {
+                run.missing = 0;
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running;
+                    run.since_ms = now;
+                }
+                if run.percent != active.percent {
+                    run.percent = active.percent;
+                    run.percent_ms = now;
+                }
+                run.gauge = active.gauge;
+                self.keep_checkpoint(key, active.attempt, &active.checkpoint);
+            }
+            // Another run of the task on the same worker: it is settled by its own end.
+            Some(_) => {}
+            None => self.adopt(id, active, now),
+        }
+    }
+
+    /// A run that we did not know of: taken over if its task needs it, else stopped.
+    fn adopt(&mut self, id: &WorkerId, active: &ActiveRun, now: Millis) {
+        let key = &active.task;
+        let job = self.jobs.get_mut(&key.step.job);
+        let team = job.as_ref().and_then(|job| job.record.team.clone());
+        let spec = job
+            .as_ref()
+            .and_then(|job| job.record.spec.steps.get(usize::from(key.step.step)).cloned())
+            .unwrap_or_default();
+        let mut wanted = false;
+        if let Some(job) = job
+            && job.ended.is_none()
+        {
+            job.started = true;
+            if let Some(step) = job.step_mut(key.step.occurrence, key.step.step)
+                && let Some(task) = step.tasks.get_mut(key.index as usize)
+                && task.phase == Phase::Waiting
+                && task.attempt <= active.attempt
+            {
+                wanted = true;
+                task.attempt = active.attempt;
+                task.checkpoint = active.checkpoint.clone();
+                step.set_phase(key.index, Phase::Placed(id.clone()));
+            }
+        }
+        event!("task.adopted", "task" => key.to_string(), "attempt" => active.attempt,
+            "worker" => id.as_str(), "wanted" => wanted, "percent" => active.percent);
+        let mut run = new_run(&spec, team, active.attempt, RunState::Running, now);
+        run.percent = active.percent;
+        add_use(&mut self.used_by_team, &run);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.add_run(key.clone(), run);
+        }
+        if !wanted {
+            self.stop_run(id, key, "not wanted", now);
+        }
+    }
+
+    fn keep_checkpoint(&mut self, key: &TaskKey, attempt: u32, checkpoint: &CompactString) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let step = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|job| job.step_mut(key.step.occurrence, key.step.step));
+        if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize))
+            && task.attempt == attempt
+        {
+            task.checkpoint = checkpoint.clone();
+        }
+    }
+
+    /// Settles runs that the look should have shown but did not.
+    fn runs_not_seen(&mut self, id: &WorkerId, sent_ms: Millis, look: &Look, now: Millis) {
+        if look.more_ended {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let shown = |key: &TaskKey, attempt: u32| {
+            look.active.iter().any(|active| active.task == *key && active.attempt == attempt)
+        };
+        let mut gone = Vec::new();
+        let mut unanswered = Vec::new();
+        for (key, run) in &mut worker.runs {
+            if shown(key, run.attempt) || run.since_ms >= sent_ms {
+                continue;
+            }
+            match run.state {
+                RunState::Stopped => gone.push(key.clone()),
+                RunState::Running => {
+                    run.missing += 1;
+                    if run.missing >= LOST_LOOKS {
+                        gone.push(key.clone());
+                    }
+                }
+                RunState::Starting if run.missing > 0 => unanswered.push(key.clone()),
+                RunState::Starting | RunState::Stopping => {}
+            }
+        }
+        for key in gone {
+            event!("task.gone", "task" => key.to_string(), "worker" => id.as_str());
+            self.free_run(id, &key, LOST_RETRY_MS, now);
+        }
+        for key in unanswered {
+            self.stop_run(id, &key, "start was not answered", now);
+        }
+    }
+
+    /// Whether every worker that may run inherited tasks was seen, or has surely ended them.
+    pub(crate) fn all_workers_known(&self, now: Millis) -> bool {
+        let known = |worker: &Worker| worker.attached || now >= worker.lease_over_ms();
+        !self.workers.is_empty() && self.workers.values().all(known)
+    }
+
+    /// Drops what a worker ran once its leases are surely over.
+    pub(crate) fn drop_lapsed(&mut self, now: Millis) {
+        let lapsed: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                !worker.reachable && !worker.runs.is_empty() && now >= worker.lease_over_ms()
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+            event!("worker.lapsed", "worker" => id.as_str(), "runs" => keys.len(),
+                "heard_ms_ago" => now.since(worker.heard_ms).0);
+            for key in keys {
+                self.free_run(&id, &key, Millis(0), now);
+            }
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.used = Resources::ZERO;
+                worker.attached = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/cell/src/order.rs
@@ -0,0 +1,96 @@
+//! Who goes first.
+//!
+//! Load pattern: bursts of two on a fleet that is four fifths busy. For some seconds there is
+//! more work than room, and what is served late is worth a fifth of what is served in time.
+//! Steps that can still meet their objective go first, by priority; those that are late but
+//! still worth something follow; the rest waits for idle room.
+
+use std::collections::BTreeMap;
+
+use types::{Millis, TeamId};
+
+use crate::model::QueuePolicy;
+
+/// A job that ends within this many objectives is late; after that it is worth nothing.
+const LATE_FACTOR: f64 = 3.0;
+
+/// What a job can still reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outlook {
+    /// It can still end within its objective.
+    InTime,
+    /// It can still end within three objectives.
+    Late,
+    /// It is too late to be of use, but must be done.
+    Overdue,
+}
+
+/// Position of a step among all that wait. Lower goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) outlook: Outlook,
+    /// Its team sends more than its share.
+    pub(crate) over_share: bool,
+    pub(crate) priority: u32,
+    pub(crate) deadline_ms: Millis,
+}
+
+/// Time by which a job should end, from its acceptance.
+pub(crate) fn objective_ms(policy: &QueuePolicy, chain_ms: Millis) -> Millis {
+    let stretched = policy.target_factor * chain_ms.0 as f64;
+    Millis(stretched as u64) + policy.target_latency_ms
+}
+
+/// Ranks a step.
+///
+/// `due_ms` is when the job was accepted or due, `left_ms` the work left on its longest chain.
+pub(crate) fn rank(
+    policy: &QueuePolicy,
+    due_ms: Millis,
+    chain_ms: Millis,
+    left_ms: Millis,
+    over_share: bool,
+    lasting: bool,
+    now: Millis,
+) -> Rank {
+    let objective = objective_ms(policy, chain_ms);
+    let late = Millis((objective.0 as f64 * LATE_FACTOR) as u64);
+    let ends = now + left_ms;
+    let outlook = if lasting || ends <= due_ms + objective {
+        Outlook::InTime
+    } else if ends <= due_ms + late {
+        Outlook::Late
+    } else {
+        Outlook::Overdue
+    };
+    Rank { outlook, over_share, priority: policy.priority, deadline_ms: due_ms + objective }
+}
+
+/// Jobs a team may send at once above its rate before they count as over its share, in seconds
+/// of its rate: callers come in waves of some seconds.
+const SHARE_BURST_S: f64 = 3.0;
+
+/// Counts jobs of each team against its share.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    /// Jobs above the rate, by team, with the time of the last update.
+    levels: BTreeMap<TeamId, (f64, f64, Millis)>,
+}
+
+impl Shares {
+    /// A job of the team came; `weight` is its share in jobs a second.
+    pub(crate) fn job_came(&mut self, team: &TeamId, weight: f64, now: Millis) {
+        let (level, rate, at) = self.levels.entry(team.clone()).or_insert((0.0, weight, now));
+        let drained = now.since(*at).0 as f64 / 1000.0 * weight;
+        *level = (*level - drained).max(0.0) + 1.0;
+        *rate = weight;
+        *at = now;
+    }
+
+    /// Whether the team sends more than its share.
+    pub(crate) fn is_over(&self, team: &TeamId) -> bool {
+        self.levels
+            .get(team)
+            .is_some_and(|(level, rate, _)| *rate > 0.0 && *level > rate * SHARE_BURST_S)
+    }
+}
--- /dev/null
+++ b/components/cell/src/schedule.rs
@@ -0,0 +1,350 @@
+//! Puts waiting tasks on workers.
+
+use std::collections::BTreeMap;
+
+use eventlog::event;
+use libs::compact_str::CompactString;
+use types::{Millis, RackId, Resources, WorkerId};
+
+use crate::advice::call_ms;
+use crate::cell::{Action, Cell};
+use crate::fit;
+use crate::job::{Job, Phase};
+use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
+use crate::order::{Rank, rank};
+
+/// Tasks of a step that a worker may not take lead to a log line once in this time.
+const ADVICE_LEAD_MS: Millis = Millis(150);
+
+/// A step with tasks to start.
+struct Candidate {
+    rank: Rank,
+    key: StepKey,
+}
+
+impl Cell {
+    /// Starts what can start now.
+    pub fn schedule(&mut self, now: Millis) {
+        if !self.may_start || !self.changed {
+            return;
+        }
+        self.changed = false;
+        let mut candidates = self.candidates(now);
+        candidates.sort_by_key(|candidate| candidate.rank);
+        for candidate in candidates {
+            self.place_step(&candidate.key, now);
+        }
+    }
+
+    fn candidates(&mut self, now: Millis) -> Vec<Candidate> {
+        let policy = self.policy.clone();
+        let unix_ms = eventlog::unix_ms();
+        let mut found = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let blocked = job.ended.is_some() || (job.inherited && self.recovering);
+            if blocked {
+                continue;
+            }
+            let numbers: Vec<u32> = job.open.keys().copied().collect();
+            for number in numbers {
+                let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
+                let queue = Cell::queue_policy(&policy, &job.record).clone();
+                found.extend(ready_steps(job, number, now).into_iter().map(
+                    |(step, left_ms, lasting)| {
+                        let rank = rank(
+                            &queue,
+                            due_ms,
+                            job.chain_ms,
+                            left_ms,
+                            job.over_share,
+                            lasting,
+                            now,
+                        );
+                        let key = StepKey { job: id.clone(), occurrence: number, step };
+                        Candidate { rank, key }
+                    },
+                ));
+            }
+        }
+        found
+    }
+
+    fn place_step(&mut self, key: &StepKey, now: Millis) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let record = job.record.clone();
+        let Some(spec) = record.spec.steps.get(usize::from(key.step)) else { return };
+        let policy = self.policy.clone();
+        let queue = Cell::queue_policy(&policy, &record).clone();
+        let Some(step) = job.step(key.occurrence, key.step) else { return };
+        let waiting: Vec<u32> = (0u32..)
+            .zip(&step.tasks)
+            .filter(|(_, task)| task.phase == Phase::Waiting && task.not_before_ms <= now)
+            .map(|(index, _)| index)
+            .collect();
+        if spec.gang && waiting.len() < step.tasks.len() {
+            self.stop_partial_gang(key, now);
+            return;
+        }
+        let placed = self.choose(key, spec, &queue, &waiting, now);
+        let whole = !spec.gang || placed.len() == waiting.len();
+        let started = if whole { placed.len() } else { 0 };
+        if whole {
+            self.start_chosen(key, spec, placed, now);
+        }
+        if started < waiting.len()
+            && let Some(advice) = queue.advice
+        {
+            self.ask(key, spec, &queue, advice, waiting.len() - started, now);
+        }
+    }
+
+    fn start_chosen(
+        &mut self,
+        key: &StepKey,
+        spec: &StepSpec,
+        placed: Vec<(u32, WorkerId, Option<CompactString>)>,
+        now: Millis,
+    ) {
+        let highest = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step(key.occurrence, key.step))
+            .and_then(|step| step.tasks.iter().map(|task| task.attempt).max())
+            .unwrap_or(0);
+        let shared = Cell::next_attempt(self.epoch, highest);
+        if spec.gang {
+            self.share_gang_checkpoint(key);
+        }
+        for (index, worker, ticket) in placed {
+            let last = self
+                .jobs
+                .get(&key.job)
+                .and_then(|job| job.step(key.occurrence, key.step))
+                .and_then(|step| step.tasks.get(index as usize))
+                .map_or(0, |task| task.attempt);
+            let attempt = if spec.gang { shared } else { Cell::next_attempt(self.epoch, last) };
+            let task = TaskKey { step: key.clone(), index };
+            self.start_run(&worker, task, spec, attempt, ticket, now);
+        }
+    }
+
+    /// All members of a gang go on from the same checkpoint.
+    fn share_gang_checkpoint(&mut self, key: &StepKey) {
+        let Some(step) =
+            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
+        else {
+            return;
+        };
+        let shared = step
+            .tasks
+            .iter()
+            .filter(|task| !task.checkpoint.is_empty())
+            .max_by_key(|task| task.attempt)
+            .map(|task| task.checkpoint.clone())
+            .unwrap_or_default();
+        for task in &mut step.tasks {
+            task.checkpoint = shared.clone();
+        }
+    }
+
+    /// A gang of which some members run and others do not is stopped, to start again as a whole.
+    fn stop_partial_gang(&mut self, key: &StepKey, now: Millis) {
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
+        else {
+            return;
+        };
+        let placed: Vec<(TaskKey, WorkerId)> = (0u32..)
+            .zip(&step.tasks)
+            .filter_map(|(index, task)| match &task.phase {
+                Phase::Placed(worker) => {
+                    Some((TaskKey { step: key.clone(), index }, worker.clone()))
+                }
+                Phase::Waiting | Phase::Done => None,
+            })
+            .collect();
+        for (task, worker) in placed {
+            self.stop_run(&worker, &task, "gang is not whole", now);
+        }
+    }
+
+    /// Chooses a worker for each waiting task, as far as there is room.
+    fn choose(
+        &self,
+        key: &StepKey,
+        spec: &StepSpec,
+        queue: &QueuePolicy,
+        waiting: &[u32],
+        now: Millis,
+    ) -> Vec<(u32, WorkerId, Option<CompactString>)> {
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
+        else {
+            return Vec::new();
+        };
+        let last_chance = |index: u32| {
+            let counted = if spec.gang { 0 } else { index as usize };
+            step.tasks.get(counted).is_some_and(|task| task.failures + 1 >= queue.max_attempts)
+        };
+        let mut free: BTreeMap<&WorkerId, (Resources, u32)> = BTreeMap::new();
+        let mut rack: Option<RackId> = None;
+        for (id, worker) in &self.workers {
+            let usable = worker.attached
+                && worker.reachable
+                && worker.listed
+                && !worker.report.draining
+                && worker.report.service == queue.service
+                && spec.label.as_ref().is_none_or(|label| worker.report.labels.contains(label))
+                && !worker.health.rests(now)
+                && (queue.advice.is_none()
+                    || step.advice.ticket(id, worker.life_unix_ms, now).is_some());
+            let first = TaskKey { step: key.clone(), index: 0 };
+            let of_step =
+                worker.runs.range(first..).take_while(|(task, _)| task.step == *key).count();
+            if of_step > 0 && spec.one_rack {
+                rack.clone_from(&worker.report.rack);
+            }
+            if usable && worker.free().holds(&spec.charge()) {
+                free.insert(id, (worker.free(), of_step as u32));
+            }
+        }
+        let mut limit = self.team_room(key, spec);
+        let mut chosen = Vec::new();
+        for index in waiting {
+            if limit == 0 {
+                break;
+            }
+            let careful = last_chance(*index);
+            let task = TaskKey { step: key.clone(), index: *index };
+            let best = free
+                .iter()
+                .filter(|(_, (_, count))| spec.max_per_worker.is_none_or(|most| *count < most))
+                .filter_map(|(id, (room, _))| {
+                    let worker = self.workers.get(*id)?;
+                    if worker.runs.contains_key(&task) || (careful && !worker.health.proven()) {
+                        return None;
+                    }
+                    fit::score(spec, worker, room, rack.as_ref()).map(|score| (score, *id))
+                })
+                .max_by(|(left, _), (right, _)| left.total_cmp(right));
+            let Some((_, id)) = best else {
+                if careful {
+                    continue;
+                }
+                break;
+            };
+            if let Some((room, count)) = free.get_mut(id) {
+                *room = room.minus(&spec.charge());
+                *count += 1;
+            }
+            if spec.one_rack && rack.is_none() {
+                rack = self.workers.get(id).and_then(|worker| worker.report.rack.clone());
+            }
+            let life = self.workers.get(id).map_or(0, |worker| worker.life_unix_ms);
+            let ticket = step.advice.ticket(id, life, now).map(|ticket| ticket.text.clone());
+            chosen.push((*index, id.clone(), ticket));
+            limit -= 1;
+        }
+        chosen
+    }
+
+    /// How many more tasks of the step its team may run.
+    fn team_room(&self, key: &StepKey, spec: &StepSpec) -> u64 {
+        let Some(job) = self.jobs.get(&key.job) else { return 0 };
+        let Some(team) = &job.record.team else { return u64::MAX };
+        let Some(policy) = self.policy.teams.get(team) else { return u64::MAX };
+        let used = self.used_by_team.get(team).copied().unwrap_or_default();
+        let most = |limit: u64, used: u64, need: u64| {
+            if limit == 0 || need == 0 { u64::MAX } else { limit.saturating_sub(used) / need }
+        };
+        most(policy.limit.cpu_milli, used.cpu_milli, spec.need.cpu_milli)
+            .min(most(policy.limit.mem_mb, used.mem_mb, spec.need.mem_mb))
+            .min(most(policy.limit.accels, used.accels, spec.need.accels))
+    }
+
+    /// Asks the advisor about workers for tasks that found none.
+    fn ask(
+        &mut self,
+        key: &StepKey,
+        spec: &StepSpec,
+        queue: &QueuePolicy,
+        advice: AdvicePolicy,
+        tasks: usize,
+        now: Millis,
+    ) {
+        if self.team_room(key, spec) == 0 {
+            return;
+        }
+        let mut usable: Vec<(u64, WorkerId, u64)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.attached
+                    && worker.reachable
+                    && worker.listed
+                    && !worker.report.draining
+                    && worker.report.service == queue.service
+                    && spec.label.as_ref().is_none_or(|label| worker.report.labels.contains(label))
+                    && worker.report.capacity.holds(&spec.charge())
+                    && !worker.health.rests(now)
+            })
+            .map(|(id, worker)| (worker.free().cpu_milli, id.clone(), worker.life_unix_ms))
+            .collect();
+        usable.sort_by(|left, right| right.0.cmp(&left.0));
+        let usable: Vec<(WorkerId, u64)> =
+            usable.into_iter().map(|(_, id, life)| (id, life)).collect();
+        let Some(step) =
+            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
+        else {
+            return;
+        };
+        let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(&advice, 8) as u64);
+        let lead_ms = lead_ms.min(Millis(advice.valid_ms.0 / 2));
+        let workers = step.advice.to_ask(&usable, tasks, lead_ms, now);
+        if workers.is_empty() {
+            return;
+        }
+        let takes_ms = call_ms(&advice, workers.len());
+        let Some((machine, call)) = self.callers.reserve(takes_ms, now) else { return };
+        step.advice.asking = true;
+        event!("advice.ask", "step" => key.to_string(), "workers" => workers.len(),
+            "machine" => machine.as_str(), "takes_ms" => takes_ms, "tasks" => tasks);
+        self.actions.push(Action::Ask { machine, call, step: key.clone(), workers });
+    }
+}
+
+/// Steps of an occurrence whose turn has come and that have tasks to start, with the work left
+/// on the longest chain from there.
+fn ready_steps(job: &mut Job, number: u32, now: Millis) -> Vec<(u16, Millis, bool)> {
+    let record = job.record.clone();
+    let Some(occurrence) = job.open.get_mut(&number) else { return Vec::new() };
+    let done: Vec<bool> = occurrence.steps.iter().map(crate::job::Step::is_done).collect();
+    let mut ready = Vec::new();
+    for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
+        let turn = spec.after.iter().all(|earlier| done.get(usize::from(*earlier)) == Some(&true));
+        if !turn || step.waiting == 0 {
+            continue;
+        }
+        step.ready_ms.get_or_insert(now);
+        let Ok(index) = u16::try_from(index) else { continue };
+        ready.push((index, chain_from(&record.spec.steps, index), spec.lasting));
+    }
+    ready
+}
+
+/// Declared work on the longest chain that begins with a step.
+fn chain_from(steps: &[StepSpec], first: u16) -> Millis {
+    let mut until: Vec<Option<u64>> = vec![None; steps.len()];
+    for (index, step) in steps.iter().enumerate() {
+        let before = if index == usize::from(first) {
+            Some(0)
+        } else {
+            step.after
+                .iter()
+                .filter_map(|earlier| until.get(usize::from(*earlier)).copied().flatten())
+                .max()
+        };
+        if let Some(slot) = until.get_mut(index) {
+            *slot = before.map(|before| before + step.estimate_ms.0);
+        }
+    }
+    Millis(until.into_iter().flatten().max().unwrap_or(0))
+}
--- /dev/null
+++ b/components/cell/src/worker.rs
@@ -0,0 +1,156 @@
+//! State of workers in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use libs::compact_str::CompactString;
+use types::{Millis, RackId, Resources, TeamId, WorkerId};
+
+use crate::model::TaskKey;
+
+/// A worker's clock may run this much slower than ours, in percent, and we allow for one more.
+const CLOCK_DRIFT_PERCENT: u64 = 3;
+/// Added to a computed end of a lease for the granularity of timers on both sides.
+const LEASE_SLACK_MS: Millis = Millis(150);
+
+/// What a worker says of itself in the list of workers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerReport {
+    /// The worker.
+    pub id: WorkerId,
+    /// Start of this life, Unix milliseconds.
+    pub born_unix_ms: u64,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Service whose tasks it runs.
+    pub service: CompactString,
+    /// Its rack, if named.
+    pub rack: Option<RackId>,
+    /// All its labels.
+    pub labels: Vec<CompactString>,
+    /// What it can hold.
+    pub capacity: Resources,
+    /// It is leaving and takes no new work.
+    pub draining: bool,
+    /// While it drains: the least time until it leaves.
+    pub leaves_in_ms: Option<Millis>,
+}
+
+/// Where a run on a worker stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The order to start is on its way.
+    Starting,
+    /// The worker has confirmed it.
+    Running,
+    /// It is to be stopped; the worker has not yet confirmed that.
+    Stopping,
+    /// The worker has confirmed the stop. The run ends, or will never begin.
+    Stopped,
+}
+
+/// A task on a worker, or maybe on its way there.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) attempt: u32,
+    pub(crate) state: RunState,
+    pub(crate) charge: Resources,
+    /// What counts against the team's limit.
+    pub(crate) need: Resources,
+    pub(crate) team: Option<TeamId>,
+    /// Time of the last change of state.
+    pub(crate) since_ms: Millis,
+    /// Time at which work began, as far as known.
+    pub(crate) began_ms: Millis,
+    /// Last order to stop.
+    pub(crate) stop_sent_ms: Millis,
+    pub(crate) percent: u32,
+    pub(crate) percent_ms: Millis,
+    /// Percent of processor time it may use, as last set.
+    pub(crate) pace: u32,
+    /// Latency tail in milliseconds of a serving task, or processor use of others.
+    pub(crate) gauge: u64,
+    /// Looks in a row that did not show it although they should have.
+    pub(crate) missing: u32,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) report: WorkerReport,
+    /// It stands in the list of workers.
+    pub(crate) listed: bool,
+    /// Time since when it is not listed.
+    pub(crate) unlisted_ms: Millis,
+    /// It has seen our epoch and its runs are known.
+    pub(crate) attached: bool,
+    /// The last call was answered.
+    pub(crate) reachable: bool,
+    /// Life that answered last, Unix milliseconds.
+    pub(crate) life_unix_ms: u64,
+    /// Last clock of the worker and when we heard it.
+    pub(crate) clock_ms: Millis,
+    pub(crate) heard_ms: Millis,
+    /// Time at which the last look that was taken in was sent.
+    pub(crate) looked_ms: Millis,
+    /// Latest deadline ever given, on the worker's clock.
+    pub(crate) lease_ms: Millis,
+    /// Time before which runs unknown to us may still be alive there.
+    pub(crate) unknown_until_ms: Millis,
+    pub(crate) used: Resources,
+    pub(crate) runs: BTreeMap<TaskKey, Run>,
+    /// Highest end processed and highest end that is stored.
+    pub(crate) processed: u64,
+    pub(crate) acked: u64,
+    pub(crate) health: crate::health::Health,
+}
+
+impl Worker {
+    pub(crate) fn new(report: WorkerReport, now: Millis) -> Self {
+        Self {
+            life_unix_ms: report.born_unix_ms,
+            report,
+            listed: true,
+            unlisted_ms: now,
+            attached: false,
+            reachable: true,
+            clock_ms: Millis(0),
+            heard_ms: Millis(0),
+            looked_ms: Millis(0),
+            lease_ms: Millis(0),
+            unknown_until_ms: now,
+            used: Resources::ZERO,
+            runs: BTreeMap::new(),
+            processed: 0,
+            acked: 0,
+            health: crate::health::Health::default(),
+        }
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        self.report.capacity.minus(&self.used)
+    }
+
+    /// Its clock as far as we know.
+    pub(crate) fn clock_now(&self, now: Millis) -> Millis {
+        self.clock_ms + now.since(self.heard_ms)
+    }
+
+    /// Time after which everything it ran under our leases has surely ended.
+    pub(crate) fn lease_over_ms(&self) -> Millis {
+        let left = self.lease_ms.since(self.clock_ms);
+        let slow = Millis(left.0 * CLOCK_DRIFT_PERCENT / 100);
+        (self.heard_ms + left + slow + LEASE_SLACK_MS).max(self.unknown_until_ms)
+    }
+
+    pub(crate) fn add_run(&mut self, key: TaskKey, run: Run) {
+        self.used = self.used.plus(&run.charge);
+        self.runs.insert(key, run);
+    }
+
+    pub(crate) fn remove_run(&mut self, key: &TaskKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum.plus(&run.charge));
+        Some(run)
+    }
+}
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -4,17 +4,24 @@
 mod timer;
 
 use std::sync::OnceLock;
-use std::time::Instant;
+use std::time::Duration;
 
+use nix::time::{ClockId, clock_gettime};
 use types::Millis;
 
 pub use libs::tokio_util::sync::CancellationToken;
 pub use shutdown::cancel_on_signals;
 pub use timer::Timer;
 
-/// Monotonic time since the first call in this process.
+/// Time since the first call in this process. It never goes back, and goes on while the
+/// machine is suspended.
 pub fn now() -> Millis {
-    static START: OnceLock<Instant> = OnceLock::new();
-    let elapsed = START.get_or_init(Instant::now).elapsed();
+    static START: OnceLock<Duration> = OnceLock::new();
+    let elapsed = since_boot().saturating_sub(*START.get_or_init(since_boot));
     Millis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
+
+fn since_boot() -> Duration {
+    // The clock exists on every Linux since 2.6.39; a failure would be a broken platform.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default()
+}
--- /dev/null
+++ b/components/cluster/src/election.rs
@@ -0,0 +1,125 @@
+//! Who leads: the process whose lease holds the leader's key in the store.
+
+use eventlog::event;
+use types::Millis;
+
+use crate::codec::{decode, encode};
+use crate::keys;
+use crate::leader::Leader;
+use crate::node::Node;
+use crate::peers::LeaderInfo;
+use crate::ports::{Commit, StoreError, Transaction};
+
+/// Without an answer of the store for this long, other processes are asked for the leader.
+const ASK_PEERS_MS: Millis = Millis(600);
+
+impl Node {
+    /// Reads the leader from the store, or takes the lead if there is none.
+    pub(crate) async fn find_leader(&self) {
+        match self.store_result(self.ports.store.get(keys::LEADER).await) {
+            Ok(Some(item)) => match decode::<LeaderInfo>(&item.value) {
+                Ok(leader) => {
+                    // Without the secret no message can be sent; the next round tries again.
+                    self.ensure_secret().await.ok();
+                    self.note_leader(leader);
+                }
+                Err(error) => event!("leader.unreadable", "error" => error.to_string()),
+            },
+            Ok(None) if self.stopping.is_cancelled() => {}
+            Ok(None) => self.campaign().await,
+            Err(_noted) => {
+                if clock::now().since(self.store_ms.get()) > ASK_PEERS_MS {
+                    self.greet_peers().await;
+                }
+            }
+        }
+    }
+
+    fn note_leader(&self, leader: LeaderInfo) {
+        let known = self.leader.borrow().as_ref().map(|known| known.epoch);
+        if known.is_none_or(|known| known < leader.epoch) {
+            event!("leader.found", "epoch" => leader.epoch, "name" => leader.peer.name.as_str(),
+                "known" => known);
+            *self.leader.borrow_mut() = Some(leader);
+        }
+    }
+
+    async fn campaign(&self) {
+        if let Err(error) = self.try_campaign().await {
+            event!("leader.campaign_failed", "error" => error.to_string());
+        }
+    }
+
+    async fn try_campaign(&self) -> Result<(), StoreError> {
+        let store = &self.ports.store;
+        if !self.ensure_secret().await? {
+            return Ok(());
+        }
+        let epoch_item = self.store_result(store.get(keys::EPOCH).await)?;
+        let (last, epoch_revision) = match &epoch_item {
+            None => (0, 0),
+            Some(item) => match decode::<u64>(&item.value) {
+                Ok(epoch) => (epoch, item.revision),
+                Err(error) => {
+                    event!("leader.epoch_unreadable", "error" => error.to_string());
+                    return Ok(());
+                }
+            },
+        };
+        let known = self.leader.borrow().as_ref().map_or(0, |leader| leader.epoch);
+        let info = LeaderInfo { epoch: last.max(known) + 1, peer: self.me(), boot: self.boot };
+        let (Ok(value), Ok(epoch)) = (encode(&info), encode(&info.epoch)) else { return Ok(()) };
+        let asked_ms = clock::now();
+        let lease = self.store_result(store.lease(self.settings.leader_lease_ms).await)?;
+        let transaction = Transaction {
+            expected: vec![(keys::LEADER.to_owned(), 0), (keys::EPOCH.to_owned(), epoch_revision)],
+            puts: vec![
+                (keys::LEADER.to_owned(), value.clone(), lease),
+                (keys::EPOCH.to_owned(), epoch, 0),
+            ],
+            removes: Vec::new(),
+        };
+        let revision = match self.store_result(store.commit(&transaction).await) {
+            Ok(Commit::Done(revision)) => Some(revision),
+            Ok(Commit::Conflict) => None,
+            Err(StoreError::Unanswered) => self
+                .store_result(store.get(keys::LEADER).await)?
+                .filter(|item| item.value == value)
+                .map(|item| item.revision),
+            Err(error) => return Err(error),
+        };
+        match revision {
+            Some(revision) => {
+                event!("leader.elected", "epoch" => info.epoch, "name" => info.peer.name.as_str());
+                *self.leader.borrow_mut() = Some(info.clone());
+                let leader = Leader::new(self, info.epoch, revision, lease, asked_ms);
+                self.take_lead(leader);
+            }
+            None => {
+                // The lease ends by itself if this call is lost.
+                self.store_result(store.end_lease(lease).await).ok();
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the cluster's secret, or makes it. False if another process is making it.
+    pub(crate) async fn ensure_secret(&self) -> Result<bool, StoreError> {
+        if self.secret.borrow().is_some() {
+            return Ok(true);
+        }
+        if let Some(item) = self.store_result(self.ports.store.get(keys::SECRET).await)? {
+            *self.secret.borrow_mut() = Some(String::from_utf8_lossy(&item.value).into_owned());
+            return Ok(true);
+        }
+        let secret = format!("{:032x}", libs::rand::random::<u128>());
+        let transaction = Transaction {
+            expected: vec![(keys::SECRET.to_owned(), 0)],
+            puts: vec![(keys::SECRET.to_owned(), secret.into_bytes(), 0)],
+            removes: Vec::new(),
+        };
+        // Read again in any case: another process may have been first.
+        self.store_result(self.ports.store.commit(&transaction).await)?;
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/components/cluster/src/intake.rs
@@ -0,0 +1,128 @@
+//! Changes in the store that the leader must know: accepted and cancelled jobs, workers.
+
+use std::rc::Rc;
+
+use cell::JobRecord;
+use eventlog::event;
+use libs::tokio;
+use types::{JobId, Millis};
+
+use crate::keys;
+use crate::leader::{Leader, cancelled_id, read};
+use crate::node::Node;
+use crate::ports::{Change, StoreError, WorkerChange};
+
+/// Longest wait of a watch.
+const WATCH_WAIT_MS: Millis = Millis(1_500);
+/// Pause between two watches of the intake: it only finds what a message did not tell.
+const INTAKE_PERIOD_MS: Millis = Millis(500);
+/// Pause between two watches of the workers: a draining one must be known within 2 s.
+const WORKERS_PERIOD_MS: Millis = Millis(300);
+/// Pause after a failed watch.
+const RETRY_MS: Millis = Millis(150);
+
+impl Node {
+    /// A job is stored as accepted.
+    pub(crate) fn job_known(&self, record: JobRecord) {
+        if let Some(leader) = self.loaded_term() {
+            leader.cell.borrow_mut().submitted(record, clock::now());
+            leader.changed.notify_one();
+        }
+    }
+
+    /// A job is stored as cancelled.
+    pub(crate) fn cancel_known(&self, id: &JobId) {
+        if let Some(leader) = self.loaded_term() {
+            leader.cell.borrow_mut().cancelled(id, clock::now());
+            leader.changed.notify_one();
+        }
+    }
+
+    pub(crate) async fn watch_intake(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            let after = leader.intake_after.get();
+            let watched = self.ports.store.watch(keys::INTAKE, after, WATCH_WAIT_MS).await;
+            match self.store_result(watched) {
+                Ok((changes, at)) => {
+                    for change in &changes {
+                        self.take_intake(change);
+                    }
+                    leader.intake_after.set(at);
+                    tokio::time::sleep(INTAKE_PERIOD_MS.to_duration()).await;
+                }
+                Err(StoreError::HistoryGone) => {
+                    event!("store.history_gone", "prefix" => keys::INTAKE, "after" => after);
+                    if let Ok((items, at)) =
+                        self.store_result(self.ports.store.range(keys::INTAKE).await)
+                    {
+                        for item in items {
+                            self.take_intake(&Change::Put(item));
+                        }
+                        leader.intake_after.set(at);
+                    }
+                    tokio::time::sleep(RETRY_MS.to_duration()).await;
+                }
+                Err(_noted) => tokio::time::sleep(RETRY_MS.to_duration()).await,
+            }
+        }
+    }
+
+    fn take_intake(&self, change: &Change) {
+        let Change::Put(item) = change else { return };
+        if let Some(id) = cancelled_id(&item.key) {
+            self.cancel_known(&id);
+        } else if let Some(record) = read::<JobRecord>(item) {
+            self.job_known(record);
+        }
+    }
+
+    pub(crate) async fn watch_workers(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            let after = leader.workers_after.get();
+            let changes = self.ports.directory.changes(after, WATCH_WAIT_MS).await;
+            match self.store_result(changes) {
+                Ok((changes, at)) => {
+                    for change in changes {
+                        take_worker(&leader, change);
+                    }
+                    leader.workers_after.set(at);
+                    leader.changed.notify_one();
+                    tokio::time::sleep(WORKERS_PERIOD_MS.to_duration()).await;
+                }
+                Err(StoreError::HistoryGone) => {
+                    event!("store.history_gone", "prefix" => "workers", "after" => after);
+                    self.list_workers(&leader).await;
+                    tokio::time::sleep(RETRY_MS.to_duration()).await;
+                }
+                Err(_noted) => tokio::time::sleep(RETRY_MS.to_duration()).await,
+            }
+        }
+    }
+
+    async fn list_workers(&self, leader: &Leader) {
+        let Ok((reports, at)) = self.store_result(self.ports.directory.list().await) else {
+            return;
+        };
+        let now = clock::now();
+        let mut cell = leader.cell.borrow_mut();
+        let listed: Vec<_> = reports.iter().map(|report| report.id.clone()).collect();
+        for report in reports {
+            cell.worker_listed(report, now);
+        }
+        for id in cell.worker_ids() {
+            if !listed.contains(&id) {
+                cell.worker_unlisted(&id, now);
+            }
+        }
+        leader.workers_after.set(at);
+    }
+}
+
+fn take_worker(leader: &Leader, change: WorkerChange) {
+    let now = clock::now();
+    let mut cell = leader.cell.borrow_mut();
+    match change {
+        WorkerChange::Listed(report) => cell.worker_listed(*report, now),
+        WorkerChange::Unlisted(id) => cell.worker_unlisted(&id, now),
+    }
+}
--- /dev/null
+++ b/components/cluster/src/leader.rs
@@ -0,0 +1,286 @@
+//! The work of the leader: load what is stored, then keep the cell and the world in step.
+
+use std::cell::{Cell as StdCell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cell::{Cell, JobRecord, Progress, WorkerReport};
+use clock::CancellationToken;
+use eventlog::event;
+use libs::tokio;
+use tokio::sync::Notify;
+use types::{JobId, Millis, Resources, WorkerId};
+
+use crate::codec::decode;
+use crate::keys;
+use crate::node::{Node, PEER_TIMEOUT_MS};
+use crate::ports::{Item, StoreError};
+
+/// Renewals of the leader's lease within its length.
+const RENEWALS_PER_LEASE: u64 = 4;
+/// The lease counts as held until this long before its end, for the way of orders.
+const LEASE_MARGIN_MS: Millis = Millis(150);
+/// Pause after a failed attempt to load.
+const LOAD_RETRY_MS: Millis = Millis(100);
+/// Period of the cell's clock.
+const TICK_MS: Millis = Millis(100);
+/// Shortest time between two rounds of placement, so that one round serves many events.
+const ROUND_MS: Millis = Millis(4);
+
+/// A term of leadership.
+pub(crate) struct Leader {
+    pub(crate) cell: RefCell<Cell>,
+    epoch: u64,
+    /// Revision of the leader's key, the condition of every write of this term.
+    pub(crate) revision: u64,
+    lease: u64,
+    /// When the last call that was answered with a valid lease was sent.
+    confirmed_ms: StdCell<Millis>,
+    /// The stored state is loaded.
+    pub(crate) loaded: StdCell<bool>,
+    /// Revision after which intake and the list of workers are watched.
+    pub(crate) intake_after: StdCell<u64>,
+    pub(crate) workers_after: StdCell<u64>,
+    pub(crate) batch_revision: StdCell<u64>,
+    /// Workers with a loop of looks.
+    pub(crate) looked_at: RefCell<BTreeSet<WorkerId>>,
+    pub(crate) changed: Notify,
+    pub(crate) to_store: Notify,
+    pub(crate) token: CancellationToken,
+}
+
+impl Leader {
+    pub(crate) fn new(
+        node: &Node,
+        epoch: u64,
+        revision: u64,
+        lease: u64,
+        confirmed_ms: Millis,
+    ) -> Self {
+        let mut cell = Cell::new(node.settings.cell.clone(), epoch);
+        if let Some(rules) = node.rules() {
+            cell.set_policy(rules.policy);
+        }
+        Self {
+            cell: RefCell::new(cell),
+            epoch,
+            revision,
+            lease,
+            confirmed_ms: StdCell::new(confirmed_ms),
+            loaded: StdCell::new(false),
+            intake_after: StdCell::new(0),
+            workers_after: StdCell::new(0),
+            batch_revision: StdCell::new(0),
+            looked_at: RefCell::default(),
+            changed: Notify::new(),
+            to_store: Notify::new(),
+            token: CancellationToken::new(),
+        }
+    }
+
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+}
+
+impl Node {
+    pub(crate) fn take_lead(&self, leader: Leader) {
+        let leader = Rc::new(leader);
+        *self.leading.borrow_mut() = Some(leader.clone());
+        let Some(node) = self.this.upgrade() else { return };
+        let run = async move {
+            let token = leader.token.clone();
+            tokio::select! {
+                () = node.lead(leader) => {}
+                () = token.cancelled() => {}
+            }
+        };
+        tokio::task::spawn_local(run);
+    }
+
+    /// The term in progress, once its state is loaded.
+    pub(crate) fn loaded_term(&self) -> Option<Rc<Leader>> {
+        self.leading.borrow().clone().filter(|leader| leader.loaded.get())
+    }
+
+    /// Ends the term without telling the store.
+    pub(crate) fn drop_lead(&self, why: &str) {
+        if let Some(leader) = self.leading.borrow_mut().take() {
+            event!("leader.dropped", "epoch" => leader.epoch, "why" => why);
+            leader.token.cancel();
+        }
+    }
+
+    /// Ends the term and lets another process take the lead at once.
+    pub(crate) async fn step_down(&self, why: &str, store_first: bool) {
+        let Some(leader) = self.leading.borrow().clone() else { return };
+        if store_first && leader.loaded.get() {
+            leader.cell.borrow_mut().set_may_start(false);
+            self.store_changes(&leader).await;
+        }
+        self.drop_lead(why);
+        // The lease ends by itself if this call is lost.
+        self.store_result(self.ports.store.end_lease(leader.lease).await).ok();
+    }
+
+    async fn lead(self: Rc<Self>, leader: Rc<Leader>) {
+        let renewing = self.clone().keep_lease(leader.clone());
+        let working = async {
+            let began_ms = clock::now();
+            while let Err(error) = self.load(&leader).await {
+                event!("leader.load_failed", "error" => error.to_string());
+                tokio::time::sleep(LOAD_RETRY_MS.to_duration()).await;
+            }
+            event!("leader.loaded", "epoch" => leader.epoch,
+                "took_ms" => clock::now().since(began_ms).0);
+            leader.loaded.set(true);
+            tokio::join!(
+                self.clone().watch_intake(leader.clone()),
+                self.clone().watch_workers(leader.clone()),
+                self.clone().store_loop(leader.clone()),
+                self.clone().tick_cell(leader.clone()),
+                self.clone().place_tasks(leader.clone()),
+            );
+        };
+        tokio::join!(renewing, working);
+    }
+
+    async fn keep_lease(self: Rc<Self>, leader: Rc<Leader>) {
+        let period = Millis(self.settings.leader_lease_ms.0 / RENEWALS_PER_LEASE);
+        loop {
+            tokio::time::sleep(period.to_duration()).await;
+            let asked_ms = clock::now();
+            match self.store_result(self.ports.store.renew(leader.lease).await) {
+                Ok(()) => leader.confirmed_ms.set(asked_ms),
+                Err(StoreError::LeaseGone) => {
+                    self.drop_lead("the lease has ended");
+                    return;
+                }
+                Err(_noted) => {}
+            }
+        }
+    }
+
+    /// Whether this process may still order starts.
+    ///
+    /// Within its lease no other can lead. After it only while the others, too, have had no
+    /// answer from the store since the lease could have ended: then nobody was elected.
+    fn may_start(&self, leader: &Leader) -> bool {
+        let now = clock::now();
+        let held_until = leader.confirmed_ms.get() + self.settings.leader_lease_ms;
+        if now + LEASE_MARGIN_MS < held_until {
+            return true;
+        }
+        let peers = self.peers.borrow();
+        let mut heard = peers.values().filter(|state| now.since(state.heard_ms) < PEER_TIMEOUT_MS);
+        let known = peers.len();
+        let recent = heard.clone().count();
+        let none_reached_store = heard.all(|state| state.store_ms < held_until);
+        recent * 2 >= known && recent > 0 && none_reached_store
+    }
+
+    async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
+        let store = &self.ports.store;
+        let (intake, intake_after) = self.store_result(store.range(keys::INTAKE).await)?;
+        let (progress, _) = self.store_result(store.range(keys::PROGRESS).await)?;
+        let batch = self.store_result(store.get(keys::BATCH).await)?;
+        let roster = self.store_result(store.get(keys::ROSTER).await)?;
+        let (workers, workers_after) = self.store_result(self.ports.directory.list().await)?;
+        let now = clock::now();
+        let progress: BTreeMap<JobId, Progress> = progress
+            .iter()
+            .filter_map(|item| read::<Progress>(item))
+            .map(|progress| (progress.id.clone(), progress))
+            .collect();
+        let (cancels, jobs): (Vec<Item>, Vec<Item>) =
+            intake.into_iter().partition(|item| item.key.starts_with(keys::CANCELS));
+        let mut cell = leader.cell.borrow_mut();
+        for record in jobs.iter().filter_map(read::<JobRecord>) {
+            let stored = progress.get(&record.id);
+            cell.restore(record, stored, now);
+        }
+        for item in &cancels {
+            if let Some(id) = cancelled_id(&item.key) {
+                cell.cancelled(&id, now);
+            }
+        }
+        for report in workers {
+            cell.worker_listed(report, now);
+        }
+        let former = roster.as_ref().and_then(read::<Vec<(WorkerId, SocketAddr, u64)>>);
+        for (id, address, life) in former.unwrap_or_default() {
+            if !cell.worker_ids().contains(&id) {
+                cell.worker_listed(unlisted_report(&id, address, life), now);
+                cell.worker_unlisted(&id, now);
+            }
+        }
+        leader.batch_revision.set(batch.map_or(0, |item| item.revision));
+        leader.intake_after.set(intake_after);
+        leader.workers_after.set(workers_after);
+        Ok(())
+    }
+
+    async fn tick_cell(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            {
+                let mut cell = leader.cell.borrow_mut();
+                cell.tick(clock::now());
+                let mut callers: Vec<_> =
+                    self.live_peers().into_iter().map(|peer| peer.name).collect();
+                callers.push(self.settings.name.clone());
+                cell.set_callers(&callers);
+            }
+            self.look_at_workers(&leader);
+            leader.changed.notify_one();
+            tokio::time::sleep(TICK_MS.to_duration()).await;
+        }
+    }
+
+    async fn place_tasks(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            leader.changed.notified().await;
+            let actions = {
+                let may_start = self.may_start(&leader);
+                let mut cell = leader.cell.borrow_mut();
+                cell.set_may_start(may_start);
+                cell.schedule(clock::now());
+                cell.take_actions()
+            };
+            for action in actions {
+                self.carry_out(&leader, action);
+            }
+            leader.to_store.notify_one();
+            tokio::time::sleep(ROUND_MS.to_duration()).await;
+        }
+    }
+}
+
+/// Decodes a stored item; one that cannot be read is logged and left out.
+pub(crate) fn read<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
+    decode(&item.value)
+        .inspect_err(|error| {
+            event!("store.unreadable", "key" => item.key.as_str(), "error" => error.to_string());
+        })
+        .ok()
+}
+
+/// The job that a cancellation's key names.
+pub(crate) fn cancelled_id(key: &str) -> Option<JobId> {
+    key.strip_prefix(keys::CANCELS)?.parse().ok()
+}
+
+/// Stands for a worker that a former leader used and that is no longer listed.
+fn unlisted_report(id: &WorkerId, address: SocketAddr, life_unix_ms: u64) -> WorkerReport {
+    WorkerReport {
+        id: id.clone(),
+        born_unix_ms: life_unix_ms,
+        address,
+        service: Default::default(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::ZERO,
+        draining: true,
+        leaves_in_ms: None,
+    }
+}
--- /dev/null
+++ b/components/cluster/src/lib.rs
@@ -0,0 +1,26 @@
+//! Several equal processes that act as one scheduler.
+//!
+//! Each process takes callers' requests and stores accepted jobs. One of them, elected by a
+//! lease in the store, leads: it runs the [`cell::Cell`] and gives orders to the workers. All
+//! others help it with calls to the advisor and can take its place at any time.
+
+mod codec;
+mod election;
+mod front;
+mod intake;
+mod keys;
+mod leader;
+mod looks;
+mod node;
+mod orders;
+mod peers;
+mod persist;
+mod ports;
+mod rules;
+
+pub use front::{Accepted, Cancelled, Found};
+pub use node::{Node, NodeSettings};
+pub use ports::{
+    Access, Advice, Advisor, Change, Commit, Configuration, Directory, Item, Later, LookAnswer,
+    Ports, RawRules, Rules, Store, StoreError, StoreResult, Transaction, WorkerChange, Workers,
+};
--- /dev/null
+++ b/components/cluster/src/looks.rs
@@ -0,0 +1,94 @@
+//! A loop for each worker that renews its leases and reads its runs.
+
+use std::rc::Rc;
+
+use libs::tokio;
+use types::{Millis, WorkerId};
+
+use crate::leader::Leader;
+use crate::node::Node;
+use crate::ports::LookAnswer;
+
+/// Pause after a look without news, so that a broken worker cannot make the loop spin.
+const QUIET_PAUSE_MS: Millis = Millis(10);
+/// Pause after a failed look.
+const FAILED_PAUSE_MS: Millis = Millis(250);
+/// Longest wait for ends to be stored before the next look.
+const STORE_WAIT_MS: Millis = Millis(60);
+/// Pause between looks while ends cannot be stored: the answers repeat them.
+const UNSTORED_PAUSE_MS: Millis = Millis(200);
+
+impl Node {
+    /// Starts the loops of workers that have none.
+    pub(crate) fn look_at_workers(self: &Rc<Self>, leader: &Rc<Leader>) {
+        let ids = leader.cell.borrow().worker_ids();
+        for id in ids {
+            if leader.looked_at.borrow_mut().insert(id.clone()) {
+                let run = self.clone().look_loop(leader.clone(), id);
+                let token = leader.token.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::select! {
+                        () = run => {}
+                        () = token.cancelled() => {}
+                    }
+                });
+            }
+        }
+    }
+
+    async fn look_loop(self: Rc<Self>, leader: Rc<Leader>, id: WorkerId) {
+        let mut wait = false;
+        loop {
+            let Some(seen) = self.look_once(&leader, &id, wait).await else { break };
+            if !seen {
+                tokio::time::sleep(FAILED_PAUSE_MS.to_duration()).await;
+                wait = false;
+                continue;
+            }
+            wait = true;
+            if leader.cell.borrow().has_unstored_ends(&id) {
+                leader.to_store.notify_one();
+                tokio::time::sleep(STORE_WAIT_MS.to_duration()).await;
+                if leader.cell.borrow().has_unstored_ends(&id) {
+                    wait = false;
+                    tokio::time::sleep(UNSTORED_PAUSE_MS.to_duration()).await;
+                }
+            } else {
+                tokio::time::sleep(QUIET_PAUSE_MS.to_duration()).await;
+            }
+        }
+        leader.looked_at.borrow_mut().remove(&id);
+    }
+
+    /// One look. None once the worker is forgotten, else whether it answered.
+    pub(crate) async fn look_once(
+        &self,
+        leader: &Leader,
+        id: &WorkerId,
+        wait: bool,
+    ) -> Option<bool> {
+        let sent_ms = clock::now();
+        let order = leader.cell.borrow_mut().look_order(id, wait, sent_ms)?;
+        let answer = self.ports.workers.look(id, &order, leader.epoch()).await;
+        self.metrics.count("looks");
+        let now = clock::now();
+        let mut cell = leader.cell.borrow_mut();
+        match answer {
+            LookAnswer::Seen(look) => {
+                cell.look_answered(id, sent_ms, &look, now);
+                cell.balance(id, now);
+                leader.changed.notify_one();
+                Some(true)
+            }
+            LookAnswer::Fenced => {
+                drop(cell);
+                self.drop_lead("a worker has seen a higher epoch");
+                Some(false)
+            }
+            LookAnswer::Failed => {
+                cell.look_failed(id, now);
+                Some(false)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/cluster/src/orders.rs
@@ -0,0 +1,113 @@
+//! Carries out what the cell decides.
+
+use std::rc::Rc;
+
+use cell::{Action, PaceOrder, StartOrder, StepKey, StopOrder};
+use libs::compact_str::CompactString;
+use libs::tokio;
+use types::{Millis, WorkerId};
+
+use crate::leader::Leader;
+use crate::node::Node;
+use crate::peers::{Answer, Message};
+use crate::ports::Advice;
+
+/// Longest wait for the advisor, which may have other calls of the same machine before this one.
+const ADVICE_TIMEOUT_MS: Millis = Millis(2_500);
+
+impl Node {
+    pub(crate) fn carry_out(self: &Rc<Self>, leader: &Rc<Leader>, action: Action) {
+        let node = self.clone();
+        let term = leader.clone();
+        match action {
+            Action::Start(order) => {
+                tokio::task::spawn_local(node.start(term, order));
+            }
+            Action::Stop(order) => {
+                tokio::task::spawn_local(node.stop(term, order));
+            }
+            Action::Pace(order) => {
+                tokio::task::spawn_local(node.pace(term, order));
+            }
+            Action::Look(id) => {
+                tokio::task::spawn_local(async move { node.look_once(&term, &id, false).await });
+            }
+            Action::Ask { machine, call, step, workers } => {
+                tokio::task::spawn_local(node.ask(term, machine, call, step, workers));
+            }
+            Action::Deposed => self.drop_lead("a worker has seen a higher epoch"),
+        }
+    }
+
+    async fn start(self: Rc<Self>, leader: Rc<Leader>, order: Box<StartOrder>) {
+        let answer = self.ports.workers.start(&order, leader.epoch()).await;
+        self.metrics.count("starts");
+        let now = clock::now();
+        leader.cell.borrow_mut().start_answered(
+            &order.worker,
+            &order.task,
+            order.attempt,
+            answer,
+            now,
+        );
+        if answer != cell::StartAnswer::Started {
+            self.metrics.count("starts_failed");
+            leader.changed.notify_one();
+        }
+    }
+
+    async fn stop(self: Rc<Self>, leader: Rc<Leader>, order: StopOrder) {
+        let confirmed = self.ports.workers.stop(&order, leader.epoch()).await;
+        self.metrics.count("stops");
+        let now = clock::now();
+        leader.cell.borrow_mut().stop_answered(
+            &order.worker,
+            &order.task,
+            order.attempt,
+            confirmed,
+            now,
+        );
+        leader.changed.notify_one();
+    }
+
+    async fn pace(self: Rc<Self>, leader: Rc<Leader>, order: PaceOrder) {
+        self.metrics.count("paces");
+        if !self.ports.workers.pace(&order, leader.epoch()).await {
+            leader.cell.borrow_mut().pace_failed(&order.run.worker, &order.run.task);
+        }
+    }
+
+    async fn ask(
+        self: Rc<Self>,
+        leader: Rc<Leader>,
+        machine: CompactString,
+        call: u64,
+        step: StepKey,
+        workers: Vec<(WorkerId, u64)>,
+    ) {
+        let ids: Vec<WorkerId> = workers.iter().map(|(id, _)| id.clone()).collect();
+        self.metrics.count("advice_calls");
+        let advice = self.advice_through(&machine, &step, ids).await;
+        let answer = advice.as_ref().map(|advice| (advice.allowed.as_slice(), advice.valid_ms));
+        leader.cell.borrow_mut().advised(call, &step, &workers, answer, clock::now());
+        leader.changed.notify_one();
+    }
+
+    async fn advice_through(
+        &self,
+        machine: &CompactString,
+        step: &StepKey,
+        workers: Vec<WorkerId>,
+    ) -> Option<Advice> {
+        if *machine == self.settings.name {
+            return self.ports.advisor.advise(step, &workers, ADVICE_TIMEOUT_MS).await;
+        }
+        let address = self.peers.borrow().get(machine).map(|state| state.peer.address)?;
+        let message =
+            Message::Advise { step: step.clone(), workers, timeout_ms: ADVICE_TIMEOUT_MS };
+        match self.send(address, &message, ADVICE_TIMEOUT_MS).await {
+            Some(Answer::Advice(advice)) => advice,
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/components/web/src/server.rs
@@ -0,0 +1,133 @@
+//! A server that hands whole requests to a handler.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use libs::tokio;
+use libs::tokio_util::sync::CancellationToken;
+use tokio::net::{TcpListener, TcpStream};
+use types::Millis;
+
+/// Largest body taken. Callers' settings allow 262,144 bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Longest wait for the head of a request on an open connection.
+const HEADER_TIMEOUT_MS: Millis = Millis(15_000);
+
+/// A whole request.
+#[derive(Debug)]
+pub struct ServerRequest {
+    /// HTTP method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ServerRequest {
+    /// A header as text, if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, Default)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Whole seconds after which the caller may come back.
+    pub retry_after_s: Option<u64>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Accepts connections until the token is cancelled; then lets open requests finish.
+pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: CancellationToken)
+where
+    H: Fn(ServerRequest) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _peer)) => {
+                tokio::task::spawn_local(serve_connection(stream, handler.clone(), stop.clone()));
+            }
+            Err(error) => {
+                libs::log::warn!("accept failed: {error}");
+                tokio::time::sleep(Millis(20).to_duration()).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: Rc<H>, stop: CancellationToken)
+where
+    H: Fn(ServerRequest) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let service = service_fn(move |request| answer(request, handler.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT_MS.to_duration())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        libs::log::debug!("connection ended: {error}");
+    }
+}
+
+async fn answer<H, F>(
+    request: hyper::Request<Incoming>,
+    handler: Rc<H>,
+) -> Result<hyper::Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(ServerRequest) -> F,
+    F: Future<Output = Reply>,
+{
+    let (head, body) = request.into_parts();
+    let reply = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => {
+            handler(ServerRequest {
+                method: head.method,
+                path: head.uri.path().to_owned(),
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
+            .await
+        }
+        Err(_) => Reply { status: 400, ..Reply::default() },
+    };
+    let mut response = hyper::Response::builder().status(reply.status);
+    if !reply.body.is_empty() {
+        response = response.header(hyper::header::CONTENT_TYPE, "application/json");
+    }
+    if let Some(seconds) = reply.retry_after_s {
+        response = response.header(hyper::header::RETRY_AFTER, seconds);
+    }
+    let whole = Full::new(reply.body.clone());
+    Ok(response.body(whole).unwrap_or_else(|_| hyper::Response::new(Full::new(Bytes::new()))))
+}
