A leader that has lost the store is replaced; fences for lives of workers; fewer waits after a change of leader

After a change of leader all inherited tasks waited for workers that had left before. Ruled out: slow election (40 ms once it began). Change: a leader says whether its lease holds; without it it renews no worker's lease; a worker that drained and is gone is not waited for. The limit of a team counts what unseen workers may run. An order to a former life of a worker is fenced. Test: 6,000 fault schedules; the world of the schedules keeps orders to one life, as connections do.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -21,8 +21,10 @@
 const RETRY_MS: Millis = Millis(100);
 /// Ended jobs are kept this long for callers that ask, beyond the promised time.
 const FORGET_SLACK_MS: Millis = Millis(10_000);
-/// A former leader needs up to this long to notice that it was replaced.
-const FORMER_LEADER_MS: Millis = Millis(1_000);
+/// A former leader renews no leases once its own is over; this is for calls on their way.
+const FORMER_LEADER_MS: Millis = Millis(200);
+/// Time to reach a worker that a former leader used and that is not listed.
+const UNLISTED_MS: Millis = Millis(1_000);
 /// Runs of one task in one epoch.
 const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 /// An unlisted worker without runs is forgotten after this time.
@@ -50,6 +52,8 @@
     pub task: TaskKey,
     /// Number of the run.
     pub attempt: u32,
+    /// Orders with a lower fence are refused by the worker from then on.
+    pub fence: u64,
     /// The job, for the payload.
     pub record: Rc<JobRecord>,
     /// Checkpoint to go on from; empty if there is none.
@@ -71,6 +75,8 @@
     pub task: TaskKey,
     /// Number of the run.
     pub attempt: u32,
+    /// Orders with a lower fence are refused by the worker from then on.
+    pub fence: u64,
 }
 
 /// An order to slow a run down, or to let it go again.
@@ -87,6 +93,8 @@
 pub struct LookOrder {
     /// Its address.
     pub address: SocketAddr,
+    /// Orders with a lower fence are refused by the worker from then on.
+    pub fence: u64,
     /// New end of the leases on the worker's clock; none before its clock is known.
     pub deadline_ms: Option<Millis>,
     /// Ends up to this number are stored and may be forgotten.
@@ -360,6 +368,21 @@
         }
     }
 
+    /// A former leader used this worker. Does nothing if it is listed.
+    ///
+    /// A worker that is not listed has been silent for the store for some seconds. If it cannot
+    /// be reached from here either, its leases are all but over.
+    pub fn worker_of_former_leader(&mut self, report: WorkerReport, now: Millis) {
+        if self.workers.contains_key(&report.id) {
+            return;
+        }
+        event!("worker.of_former_leader", "worker" => report.id.as_str());
+        let mut worker = Worker::new(report, now);
+        worker.listed = false;
+        worker.unknown_until_ms = now + UNLISTED_MS;
+        self.workers.insert(worker.report.id.clone(), worker);
+    }
+
     fn former_lease_ms(&self) -> Millis {
         let lease = self.settings.lease_ms;
         lease + Millis(lease.0 * 3 / 100) + FORMER_LEADER_MS
@@ -381,11 +404,15 @@
     }
 
     /// The reports of all workers, to be stored for the next leader.
-    pub fn roster(&self) -> Vec<(WorkerId, SocketAddr, u64)> {
+    pub fn roster(&self, now: Millis) -> Vec<(WorkerId, SocketAddr, u64)> {
         let row = |worker: &Worker| {
             (worker.report.id.clone(), worker.report.address, worker.life_unix_ms)
         };
-        self.workers.values().map(row).collect()
+        // One that drained and is no longer listed has left.
+        let matters = |worker: &&Worker| {
+            worker.listed || (!worker.report.draining && now < worker.lease_over_ms())
+        };
+        self.workers.values().filter(matters).map(row).collect()
     }
 
     /// Free and whole processor room of workers that take new work, in thousandths of a core.
@@ -504,6 +531,7 @@
             address: worker.report.address,
             task: key,
             attempt,
+            fence: worker.fence(self.epoch),
             record,
             checkpoint,
             ticket,
@@ -536,6 +564,7 @@
     pub(crate) fn stop_run(&mut self, worker_id: &WorkerId, key: &TaskKey, why: &str, now: Millis) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let address = worker.report.address;
+        let fence = worker.fence(self.epoch);
         let Some(run) = worker.runs.get_mut(key) else { return };
         if matches!(run.state, RunState::Stopping | RunState::Stopped) {
             return;
@@ -550,6 +579,7 @@
             address,
             task: key.clone(),
             attempt: run.attempt,
+            fence,
         };
         self.actions.push(Action::Stop(order));
     }
@@ -560,6 +590,7 @@
         worker_id: &WorkerId,
         key: &TaskKey,
         attempt: u32,
+        fence: u64,
         answer: StartAnswer,
         now: Millis,
     ) {
@@ -590,6 +621,8 @@
                 worker.reachable = false;
                 worker.health.suspect(now);
             }
+            // An order to a former life of the worker is refused by the next one, too.
+            StartAnswer::Refused(Refusal::Fenced) if fence < worker.fence(self.epoch) => {}
             StartAnswer::Refused(Refusal::Fenced) => self.actions.push(Action::Deposed),
             StartAnswer::Refused(Refusal::Unhealthy) => worker.health.suspect(now),
             StartAnswer::Refused(Refusal::NoRoom) => {
@@ -662,12 +695,20 @@
         let lease = self.settings.lease_ms;
         let wait_ms = if wait { self.settings.look_wait_ms } else { Millis(0) };
         let worker = self.workers.get_mut(id)?;
-        let known = worker.heard_ms > Millis(0);
-        let deadline_ms = known.then(|| worker.clock_now(now) + lease);
+        // Another leader must be able to count on the end of our leases.
+        let renews = self.may_start && worker.heard_ms > Millis(0);
+        let deadline_ms = renews.then(|| worker.clock_now(now) + lease);
         if let Some(deadline) = deadline_ms {
             worker.lease_ms = worker.lease_ms.max(deadline);
         }
-        Some(LookOrder { address: worker.report.address, deadline_ms, ack: worker.acked, wait_ms })
+        let fence = worker.fence(self.epoch);
+        let address = worker.report.address;
+        Some(LookOrder { address, fence, deadline_ms, ack: worker.acked, wait_ms })
+    }
+
+    /// Whether a fence is the one in force for a worker, so that a higher one is another leader's.
+    pub fn is_current_fence(&self, id: &WorkerId, fence: u64) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.fence(self.epoch) == fence)
     }
 
     /// Whether ends of this worker wait to be stored.
--- a/components/cell/src/health.rs
+++ b/components/cell/src/health.rs
@@ -20,8 +20,6 @@
     streak: u32,
     last_failed: Option<JobId>,
     rests_until_ms: Millis,
-    /// A task ended well since the last failure.
-    proven: bool,
     /// Run time against the declared one, as a moving average; 0 before the first end.
     pub(crate) slowness: f64,
 }
@@ -29,7 +27,6 @@
 impl Health {
     pub(crate) fn done(&mut self, slowness: Option<f64>) {
         self.streak = 0;
-        self.proven = true;
         if let Some(latest) = slowness {
             /// Weight of the latest run in the moving average.
             const LATEST: f64 = 0.2;
@@ -42,7 +39,6 @@
     }
 
     pub(crate) fn failed(&mut self, job: &JobId, now: Millis) {
-        self.proven = false;
         if self.last_failed.as_ref() == Some(job) && self.streak > 0 {
             return;
         }
@@ -55,7 +51,6 @@
     }
 
     pub(crate) fn suspect(&mut self, now: Millis) {
-        self.proven = false;
         self.rests_until_ms = self.rests_until_ms.max(now + SUSPECT_MS);
     }
 
@@ -63,8 +58,8 @@
         now < self.rests_until_ms
     }
 
-    /// Good enough for the last attempt of a task.
-    pub(crate) fn proven(&self) -> bool {
-        self.proven
+    /// Its last task failed: not the place for the last attempt of another.
+    pub(crate) fn doubtful(&self) -> bool {
+        self.streak > 0
     }
 }
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -143,6 +143,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         event!("worker.reborn", "worker" => id.as_str(), "runs" => worker.runs.len());
         worker.life_unix_ms = born_unix_ms;
+        worker.lives += 1;
         worker.processed = 0;
         worker.acked = 0;
         worker.clock_ms = Millis(0);
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -4,7 +4,7 @@
 
 use eventlog::event;
 use libs::compact_str::CompactString;
-use types::{Millis, RackId, Resources, WorkerId};
+use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
 
 use crate::advice::call_ms;
 use crate::cell::{Action, Cell};
@@ -13,9 +13,12 @@
 use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::order::{Rank, rank};
 
-/// Tasks of a step that a worker may not take lead to a log line once in this time.
+/// A ticket is renewed this long before it lapses, and the time of a short call.
 const ADVICE_LEAD_MS: Millis = Millis(150);
 
+/// The last attempt of a task waits this long for a worker without a failure.
+const CAREFUL_MS: Millis = Millis(1_000);
+
 /// A step with tasks to start.
 struct Candidate {
     rank: Rank,
@@ -182,7 +185,9 @@
         };
         let last_chance = |index: u32| {
             let counted = if spec.gang { 0 } else { index as usize };
-            step.tasks.get(counted).is_some_and(|task| task.failures + 1 >= queue.max_attempts)
+            step.tasks.get(counted).is_some_and(|task| {
+                task.failures + 1 >= queue.max_attempts && now < task.not_before_ms + CAREFUL_MS
+            })
         };
         let mut free: BTreeMap<&WorkerId, (Resources, u32)> = BTreeMap::new();
         let mut rack: Option<RackId> = None;
@@ -219,7 +224,7 @@
                 .filter(|(_, (_, count))| spec.max_per_worker.is_none_or(|most| *count < most))
                 .filter_map(|(id, (room, _))| {
                     let worker = self.workers.get(*id)?;
-                    if worker.runs.contains_key(&task) || (careful && !worker.health.proven()) {
+                    if worker.runs.contains_key(&task) || (careful && worker.health.doubtful()) {
                         return None;
                     }
                     fit::score(spec, worker, room, rack.as_ref()).map(|score| (score, *id))
@@ -252,6 +257,7 @@
         let Some(team) = &job.record.team else { return u64::MAX };
         let Some(policy) = self.policy.teams.get(team) else { return u64::MAX };
         let used = self.used_by_team.get(team).copied().unwrap_or_default();
+        let used = used.plus(&self.maybe_used(team));
         let most = |limit: u64, used: u64, need: u64| {
             if limit == 0 || need == 0 { u64::MAX } else { limit.saturating_sub(used) / need }
         };
@@ -260,6 +266,61 @@
             .min(most(policy.limit.accels, used.accels, spec.need.accels))
     }
 
+    /// Why the waiting tasks of a job do not run, a line for each step.
+    pub fn explain(&self, id: &JobId, now: Millis) -> Vec<String> {
+        let Some(job) = self.jobs.get(id) else { return vec!["no such job".to_owned()] };
+        let policy = Cell::queue_policy(&self.policy, &job.record);
+        let mut lines = vec![format!(
+            "ended {:?}, inherited {}, recovering {}",
+            job.ended, job.inherited, self.recovering
+        )];
+        for (number, occurrence) in &job.open {
+            for (index, (step, spec)) in
+                (0u16..).zip(occurrence.steps.iter().zip(&job.record.spec.steps))
+            {
+                let key = StepKey { job: id.clone(), occurrence: *number, step: index };
+                let fitting =
+                    self.workers.values().filter(|w| w.free().holds(&spec.charge())).count();
+                let advised = self
+                    .workers
+                    .iter()
+                    .filter(|(id, w)| step.advice.ticket(id, w.life_unix_ms, now).is_some())
+                    .count();
+                lines.push(format!(
+                    "step {number}.{index}: {} of {} tasks done, {} wait; after {:?}; room on \
+                     {fitting} workers, {}tickets for {advised}, asking {}; the team may start {}",
+                    step.done,
+                    step.tasks.len(),
+                    step.waiting,
+                    spec.after,
+                    if policy.advice.is_some() { "" } else { "no advice needed, " },
+                    step.advice.asking,
+                    self.team_room(&key, spec),
+                ));
+            }
+        }
+        lines
+    }
+
+    /// What inherited tasks of a team may use on workers that were not seen yet.
+    fn maybe_used(&self, team: &TeamId) -> Resources {
+        if !self.recovering {
+            return Resources::ZERO;
+        }
+        let of_team = |job: &&Job| {
+            job.inherited && job.ended.is_none() && job.record.team.as_ref() == Some(team)
+        };
+        let mut sum = Resources::ZERO;
+        for job in self.jobs.values().filter(of_team) {
+            for occurrence in job.open.values() {
+                for (step, spec) in occurrence.steps.iter().zip(&job.record.spec.steps) {
+                    sum = sum.plus(&spec.need.times(u64::from(step.waiting)));
+                }
+            }
+        }
+        sum
+    }
+
     /// Asks the advisor about workers for tasks that found none.
     fn ask(
         &mut self,
@@ -288,7 +349,7 @@
             })
             .map(|(id, worker)| (worker.free().cpu_milli, id.clone(), worker.life_unix_ms))
             .collect();
-        usable.sort_by(|left, right| right.0.cmp(&left.0));
+        usable.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
         let usable: Vec<(WorkerId, u64)> =
             usable.into_iter().map(|(_, id, life)| (id, life)).collect();
         let Some(step) =
--- a/components/cell/src/watch.rs
+++ b/components/cell/src/watch.rs
@@ -48,6 +48,7 @@
             if !worker.reachable && now.since(worker.heard_ms) > FRESH_MS {
                 continue;
             }
+            let fence = worker.fence(self.epoch);
             for (key, run) in &mut worker.runs {
                 let due =
                     run.state == RunState::Stopping && now.since(run.stop_sent_ms) >= STOP_AGAIN_MS;
@@ -58,6 +59,7 @@
                         address: worker.report.address,
                         task: key.clone(),
                         attempt: run.attempt,
+                        fence,
                     }));
                 }
             }
@@ -105,6 +107,7 @@
     /// target they stop at once; near it they halve; well below it they get faster in steps.
     pub fn balance(&mut self, id: &WorkerId, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let fence = worker.fence(self.epoch);
         let mut load_percent = None;
         for (key, run) in &mut worker.runs {
             let spec = self
@@ -142,6 +145,7 @@
                     address: worker.report.address,
                     task: key.clone(),
                     attempt: run.attempt,
+                    fence,
                 },
                 percent: pace,
             }));
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -10,6 +10,8 @@
 
 /// A worker's clock may run this much slower than ours, in percent, and we allow for one more.
 const CLOCK_DRIFT_PERCENT: u64 = 3;
+/// Fences of one epoch: one for each life of a worker.
+const FENCES_PER_EPOCH: u64 = 10_000;
 /// Added to a computed end of a lease for the granularity of timers on both sides.
 const LEASE_SLACK_MS: Millis = Millis(150);
 
@@ -88,6 +90,8 @@
     pub(crate) reachable: bool,
     /// Life that answered last, Unix milliseconds.
     pub(crate) life_unix_ms: u64,
+    /// Lives seen in this epoch after the first.
+    pub(crate) lives: u64,
     /// Last clock of the worker and when we heard it.
     pub(crate) clock_ms: Millis,
     pub(crate) heard_ms: Millis,
@@ -109,6 +113,7 @@
     pub(crate) fn new(report: WorkerReport, now: Millis) -> Self {
         Self {
             life_unix_ms: report.born_unix_ms,
+            lives: 0,
             report,
             listed: true,
             unlisted_ms: now,
@@ -127,6 +132,14 @@
         }
     }
 
+    /// The fence of orders to it.
+    ///
+    /// A new life knows no fence and its clock starts anew, so that a late order to the former
+    /// life would be taken. The first look with a higher fence ends that.
+    pub(crate) fn fence(&self, epoch: u64) -> u64 {
+        epoch * FENCES_PER_EPOCH + self.lives.min(FENCES_PER_EPOCH - 1)
+    }
+
     pub(crate) fn free(&self) -> Resources {
         self.report.capacity.minus(&self.used)
     }
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -162,16 +162,22 @@
         }
     }
 
+    /// Whether the lease in the store has surely not ended.
+    pub(crate) fn holds_lease(&self, leader: &Leader) -> bool {
+        let held_until = leader.confirmed_ms.get() + self.settings.leader_lease_ms;
+        clock::now() + LEASE_MARGIN_MS < held_until
+    }
+
     /// Whether this process may still order starts.
     ///
     /// Within its lease no other can lead. After it only while the others, too, have had no
     /// answer from the store since the lease could have ended: then nobody was elected.
     fn may_start(&self, leader: &Leader) -> bool {
-        let now = clock::now();
-        let held_until = leader.confirmed_ms.get() + self.settings.leader_lease_ms;
-        if now + LEASE_MARGIN_MS < held_until {
+        if self.holds_lease(leader) {
             return true;
         }
+        let now = clock::now();
+        let held_until = leader.confirmed_ms.get() + self.settings.leader_lease_ms;
         let peers = self.peers.borrow();
         let mut heard = peers.values().filter(|state| now.since(state.heard_ms) < PEER_TIMEOUT_MS);
         let known = peers.len();
@@ -210,10 +216,7 @@
         }
         let former = roster.as_ref().and_then(read::<Vec<(WorkerId, SocketAddr, u64)>>);
         for (id, address, life) in former.unwrap_or_default() {
-            if !cell.worker_ids().contains(&id) {
-                cell.worker_listed(unlisted_report(&id, address, life), now);
-                cell.worker_unlisted(&id, now);
-            }
+            cell.worker_of_former_leader(unlisted_report(&id, address, life), now);
         }
         leader.batch_revision.set(batch.map_or(0, |item| item.revision));
         leader.intake_after.set(intake_after);
--- a/components/cluster/src/looks.rs
+++ b/components/cluster/src/looks.rs
@@ -69,7 +69,7 @@
     ) -> Option<bool> {
         let sent_ms = clock::now();
         let order = leader.cell.borrow_mut().look_order(id, wait, sent_ms)?;
-        let answer = self.ports.workers.look(id, &order, leader.epoch()).await;
+        let answer = self.ports.workers.look(id, &order).await;
         self.metrics.count("looks");
         let now = clock::now();
         let mut cell = leader.cell.borrow_mut();
@@ -80,6 +80,7 @@
                 leader.changed.notify_one();
                 Some(true)
             }
+            LookAnswer::Fenced if !cell.is_current_fence(id, order.fence) => Some(true),
             LookAnswer::Fenced => {
                 drop(cell);
                 self.drop_lead("a worker has seen a higher epoch");
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -180,6 +180,7 @@
             from: self.me(),
             leader: self.leader.borrow().clone(),
             leads: self.leads(),
+            lease_held: self.leading.borrow().as_ref().is_some_and(|own| self.holds_lease(own)),
             rules_revision: rules.raw.revision,
             rules_age_ms: now.since(rules.confirmed_ms),
             store_age_ms: now.since(self.store_ms.get()),
@@ -268,7 +269,8 @@
         let message = Message::Hello(self.hello());
         match self.send(leader.peer.address, &message, HELLO_TIMEOUT_MS).await {
             Some(Answer::Hello(hello)) => {
-                let leads = hello.leads;
+                // A leader that has lost the store is replaced, if the store can be reached from here.
+                let leads = hello.leads && hello.lease_held;
                 self.heard(&hello);
                 leads
             }
--- a/components/cluster/src/orders.rs
+++ b/components/cluster/src/orders.rs
@@ -40,13 +40,14 @@
     }
 
     async fn start(self: Rc<Self>, leader: Rc<Leader>, order: Box<StartOrder>) {
-        let answer = self.ports.workers.start(&order, leader.epoch()).await;
+        let answer = self.ports.workers.start(&order).await;
         self.metrics.count("starts");
         let now = clock::now();
         leader.cell.borrow_mut().start_answered(
             &order.worker,
             &order.task,
             order.attempt,
+            order.fence,
             answer,
             now,
         );
@@ -57,7 +58,7 @@
     }
 
     async fn stop(self: Rc<Self>, leader: Rc<Leader>, order: StopOrder) {
-        let confirmed = self.ports.workers.stop(&order, leader.epoch()).await;
+        let confirmed = self.ports.workers.stop(&order).await;
         self.metrics.count("stops");
         let now = clock::now();
         leader.cell.borrow_mut().stop_answered(
@@ -72,7 +73,7 @@
 
     async fn pace(self: Rc<Self>, leader: Rc<Leader>, order: PaceOrder) {
         self.metrics.count("paces");
-        if !self.ports.workers.pace(&order, leader.epoch()).await {
+        if !self.ports.workers.pace(&order).await {
             leader.cell.borrow_mut().pace_failed(&order.run.worker, &order.run.task);
         }
     }
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -48,6 +48,8 @@
     pub(crate) leader: Option<LeaderInfo>,
     /// It leads itself.
     pub(crate) leads: bool,
+    /// It leads and its lease in the store is not known to have ended.
+    pub(crate) lease_held: bool,
     /// Revision of the rules it follows.
     pub(crate) rules_revision: u64,
     /// How long ago these were known to be the newest.
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -133,7 +133,7 @@
         leader: &Leader,
         known: &mut Vec<(types::WorkerId, std::net::SocketAddr, u64)>,
     ) {
-        let roster = leader.cell.borrow().roster();
+        let roster = leader.cell.borrow().roster(clock::now());
         if roster == *known {
             return;
         }
--- a/components/cluster/src/ports.rs
+++ b/components/cluster/src/ports.rs
@@ -127,21 +127,16 @@
     Failed,
 }
 
-/// Calls to workers. All carry the epoch as fence.
+/// Calls to workers. All carry a fence.
 pub trait Workers {
     /// Starts a task.
-    fn start<'a>(&'a self, order: &'a StartOrder, epoch: u64) -> Later<'a, StartAnswer>;
+    fn start<'a>(&'a self, order: &'a StartOrder) -> Later<'a, StartAnswer>;
     /// Stops a run. True if the worker has confirmed it.
-    fn stop<'a>(&'a self, order: &'a StopOrder, epoch: u64) -> Later<'a, bool>;
+    fn stop<'a>(&'a self, order: &'a StopOrder) -> Later<'a, bool>;
     /// Sets the pace of a run. True if the worker has confirmed it.
-    fn pace<'a>(&'a self, order: &'a PaceOrder, epoch: u64) -> Later<'a, bool>;
+    fn pace<'a>(&'a self, order: &'a PaceOrder) -> Later<'a, bool>;
     /// Renews leases and reads the runs.
-    fn look<'a>(
-        &'a self,
-        worker: &'a WorkerId,
-        order: &'a LookOrder,
-        epoch: u64,
-    ) -> Later<'a, LookAnswer>;
+    fn look<'a>(&'a self, worker: &'a WorkerId, order: &'a LookOrder) -> Later<'a, LookAnswer>;
 }
 
 /// Workers that may run a step, each with its ticket, and how long tickets are valid.
