--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -196,7 +196,7 @@
         let now = clock::now();
         let progress: BTreeMap<JobId, Progress> = progress
             .iter()
-            .filter_map(|item| read::<Progress>(item))
+            .filter_map(read::<Progress>)
             .map(|progress| (progress.id.clone(), progress))
             .collect();
         let (cancels, jobs): (Vec<Item>, Vec<Item>) =
