Leases of a silent worker run out; the advisor is asked about workers with room

Steps waited with fresh tickets for workers without room and asked about no others. Change: a worker that does not answer gets looks without a new deadline; candidates for advice carry their room.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -13,6 +13,13 @@
 
 /// Workers named in the first call of a step: the callers' objective counts a call on 30.
 const FIRST_ASK_WORKERS: usize = 30;
+/// Fewest and most workers named in a call, where there are that many.
+const MIN_ASK_WORKERS: usize = 6;
+const MAX_ASK_WORKERS: usize = 48;
+/// Chance that an unknown worker is allowed: the sites' advisors allow 35 to 70 in a hundred.
+const UNKNOWN_ALLOWED: f64 = 0.35;
+/// Tickets kept fresh for a step that waits for room.
+const WARM_TICKETS: usize = 4;
 /// A ticket is used up to this long before it lapses, for the way to the worker.
 const TICKET_MARGIN_MS: Millis = Millis(120);
 /// Calls that take longer than this are long.
@@ -90,38 +97,72 @@
         self.not_before_ms = now + RETRY_MS;
     }
 
-    /// Workers to ask about for `tasks` more tasks, given candidates in order of preference.
+    /// Workers to ask about for `tasks` tasks that found no worker with a ticket and room.
     ///
-    /// Workers known to be allowed come first, then unknown ones as long as few are known.
+    /// Workers with room come first: known ones, whose ticket has lapsed, then unknown ones, as
+    /// many as the tasks will likely need. Without any room a few tickets are kept fresh, so
+    /// that room is used as soon as it appears.
     pub(crate) fn to_ask(
         &self,
-        candidates: &[(WorkerId, u64)],
-        tasks: usize,
+        candidates: &[AskCandidate],
+        tasks: u64,
         lead_ms: Millis,
         now: Millis,
     ) -> Vec<(WorkerId, u64)> {
         if self.asking || now < self.not_before_ms {
             return Vec::new();
         }
-        let fresh = |id: &WorkerId, life| self.ticket(id, life, now + lead_ms).is_some();
-        let open = candidates.iter().filter(|(id, _)| !self.is_denied(id));
-        let (known, unknown): (Vec<_>, Vec<_>) =
-            open.partition(|(id, _)| self.tickets.contains_key(id));
-        let wanted = tasks.clamp(2, FIRST_ASK_WORKERS);
-        let stale: Vec<_> = known.iter().filter(|(id, life)| !fresh(id, *life)).copied().collect();
-        let fresh_known = known.len() - stale.len();
-        if known.is_empty() || (fresh_known == 0 && stale.is_empty()) {
-            return unknown.into_iter().take(FIRST_ASK_WORKERS).cloned().collect();
+        let open = || candidates.iter().filter(|one| !self.is_denied(&one.id));
+        let known = |one: &&AskCandidate| self.tickets.contains_key(&one.id);
+        let stale = |one: &&AskCandidate| {
+            known(one) && self.ticket(&one.id, one.life_unix_ms, now + lead_ms).is_none()
+        };
+        let roomy = |one: &&AskCandidate| one.slots > 0;
+        if !open().any(|one| roomy(&one)) {
+            return self.keep_warm(open().filter(stale), open().filter(known).count(), open());
         }
-        if fresh_known >= wanted {
-            return Vec::new();
+        let wanted = (tasks * 2 + 2) as f64;
+        let mut expected = 0.0;
+        let mut chosen = Vec::new();
+        let first = open().filter(|one| roomy(one) && stale(one)).map(|one| (one, 1.0));
+        let then = open().filter(|one| roomy(one) && !known(one)).map(|one| (one, UNKNOWN_ALLOWED));
+        for (one, chance) in first.chain(then) {
+            let enough = expected >= wanted && chosen.len() >= MIN_ASK_WORKERS;
+            if enough || chosen.len() >= MAX_ASK_WORKERS {
+                break;
+            }
+            expected += one.slots as f64 * chance;
+            chosen.push((one.id.clone(), one.life_unix_ms));
+        }
+        chosen
+    }
+
+    /// Tickets to renew while no worker has room.
+    fn keep_warm<'a>(
+        &self,
+        stale: impl Iterator<Item = &'a AskCandidate>,
+        known: usize,
+        open: impl Iterator<Item = &'a AskCandidate>,
+    ) -> Vec<(WorkerId, u64)> {
+        let name = |one: &AskCandidate| (one.id.clone(), one.life_unix_ms);
+        if known == 0 {
+            return open.take(FIRST_ASK_WORKERS).map(name).collect();
         }
-        let renewed = stale.len().min(wanted - fresh_known);
-        let more = wanted.saturating_sub(fresh_known + renewed);
-        stale.into_iter().take(renewed).chain(unknown.into_iter().take(more)).cloned().collect()
+        let stale: Vec<_> = stale.map(name).collect();
+        let fresh = known - stale.len();
+        stale.into_iter().take(WARM_TICKETS.saturating_sub(fresh)).collect()
     }
 }
 
+/// A worker that the advisor may be asked about.
+#[derive(Debug, Clone)]
+pub(crate) struct AskCandidate {
+    pub(crate) id: WorkerId,
+    pub(crate) life_unix_ms: u64,
+    /// Tasks of the step that it has room for now.
+    pub(crate) slots: u64,
+}
+
 /// Time that a call takes at the advisor.
 pub(crate) fn call_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
     policy.call_ms + policy.per_worker_ms * workers as f64
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -187,6 +187,7 @@
     pub(crate) actions: Vec<Action>,
     /// Some inherited task may run on a worker that was not seen yet.
     pub(crate) recovering: bool,
+    pub(crate) logged_unknown_ms: Millis,
     /// Starts may be ordered.
     pub(crate) may_start: bool,
     /// Something changed since the last scheduling.
@@ -213,6 +214,7 @@
             batch_out: false,
             actions: Vec::new(),
             recovering: true,
+            logged_unknown_ms: Millis(0),
             may_start: true,
             changed: true,
             shares: crate::order::Shares::default(),
@@ -705,8 +707,9 @@
         let lease = self.settings.lease_ms;
         let wait_ms = if wait { self.settings.look_wait_ms } else { Millis(0) };
         let worker = self.workers.get_mut(id)?;
-        // Another leader must be able to count on the end of our leases.
-        let renews = self.may_start && worker.heard_ms > Millis(0);
+        // The leases of a worker that does not answer must run out, so that its tasks can start
+        // elsewhere; another leader must be able to count on the end of our leases.
+        let renews = self.may_start && worker.reachable && worker.heard_ms > Millis(0);
         let deadline_ms = renews.then(|| worker.clock_now(now) + lease);
         if let Some(deadline) = deadline_ms {
             worker.lease_ms = worker.lease_ms.max(deadline);
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -9,6 +9,8 @@
 use crate::model::TaskKey;
 use crate::worker::{RunState, Worker};
 
+/// Period of the log lines on workers that are waited for.
+const LOG_UNKNOWN_MS: Millis = Millis(1_000);
 /// Looks in a row that must miss a run before it counts as lost.
 const LOST_LOOKS: u32 = 2;
 /// Pause before a task that a worker lost is tried again.
@@ -277,8 +279,25 @@
 
     /// Whether every worker that may run inherited tasks was seen, or has surely ended them.
     pub(crate) fn all_workers_known(&self, now: Millis) -> bool {
-        let known = |worker: &Worker| worker.attached || now >= worker.lease_over_ms();
-        !self.workers.is_empty() && self.workers.values().all(known)
+        !self.workers.is_empty() && self.unknown_workers(now).next().is_none()
+    }
+
+    /// Workers that may run inherited tasks that we have not seen.
+    fn unknown_workers(&self, now: Millis) -> impl Iterator<Item = (&WorkerId, &Worker)> {
+        let unknown = move |worker: &Worker| !worker.attached && now < worker.lease_over_ms();
+        self.workers.iter().filter(move |(_, worker)| unknown(worker))
+    }
+
+    /// Logs, once a second, which workers inherited tasks wait for.
+    pub(crate) fn log_unknown_workers(&mut self, now: Millis) {
+        if now.since(self.logged_unknown_ms) < LOG_UNKNOWN_MS {
+            return;
+        }
+        self.logged_unknown_ms = now;
+        for (id, worker) in self.unknown_workers(now) {
+            event!("cell.waits_for", "worker" => id.as_str(), "listed" => worker.listed,
+                "for_ms" => worker.lease_over_ms().since(now).0, "epoch" => self.epoch);
+        }
     }
 
     /// Drops what a worker ran once its leases are surely over.
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -6,7 +6,7 @@
 use libs::compact_str::CompactString;
 use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
 
-use crate::advice::call_ms;
+use crate::advice::{AskCandidate, call_ms};
 use crate::cell::{Action, Cell};
 use crate::fit;
 use crate::job::{Job, Phase};
@@ -202,9 +202,7 @@
                 && !worker.health.rests(now)
                 && (queue.advice.is_none()
                     || step.advice.ticket(id, worker.life_unix_ms, now).is_some());
-            let first = TaskKey { step: key.clone(), index: 0 };
-            let of_step =
-                worker.runs.range(first..).take_while(|(task, _)| task.step == *key).count();
+            let of_step = worker.runs_of(key);
             if of_step > 0 && spec.one_rack {
                 rack.clone_from(&worker.report.rack);
             }
@@ -335,7 +333,7 @@
         if self.team_room(key, spec) == 0 {
             return;
         }
-        let mut usable: Vec<(u64, WorkerId, u64)> = self
+        let mut usable: Vec<AskCandidate> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
@@ -348,11 +346,13 @@
                     && worker.report.capacity.holds(&spec.charge())
                     && !worker.health.rests(now)
             })
-            .map(|(id, worker)| (worker.free().cpu_milli, id.clone(), worker.life_unix_ms))
+            .map(|(id, worker)| AskCandidate {
+                id: id.clone(),
+                life_unix_ms: worker.life_unix_ms,
+                slots: worker.slots(key, spec),
+            })
             .collect();
-        usable.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
-        let usable: Vec<(WorkerId, u64)> =
-            usable.into_iter().map(|(_, id, life)| (id, life)).collect();
+        usable.sort_by_key(|one| std::cmp::Reverse(one.slots));
         let Some(step) =
             self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
         else {
@@ -360,7 +360,7 @@
         };
         let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(&advice, 8) as u64);
         let lead_ms = lead_ms.min(Millis(advice.valid_ms.0 / 2));
-        let workers = step.advice.to_ask(&usable, tasks, lead_ms, now);
+        let workers = step.advice.to_ask(&usable, tasks as u64, lead_ms, now);
         if workers.is_empty() {
             return;
         }
--- a/components/cell/src/watch.rs
+++ b/components/cell/src/watch.rs
@@ -35,6 +35,9 @@
         self.repeat_stops(now);
         self.stop_still_tasks(now);
         self.forget_workers(now);
+        if self.recovering {
+            self.log_unknown_workers(now);
+        }
         if self.recovering && self.all_workers_known(now) {
             self.recovering = false;
             event!("cell.recovered", "epoch" => self.epoch, "workers" => self.workers.len(),
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -6,7 +6,7 @@
 use libs::compact_str::CompactString;
 use types::{Millis, RackId, Resources, TeamId, WorkerId};
 
-use crate::model::TaskKey;
+use crate::model::{StepKey, StepSpec, TaskKey};
 
 /// A worker's clock may run this much slower than ours, in percent, and we allow for one more.
 const CLOCK_DRIFT_PERCENT: u64 = 3;
@@ -144,6 +144,24 @@
         self.report.capacity.minus(&self.used)
     }
 
+    /// Runs of a step on this worker.
+    pub(crate) fn runs_of(&self, step: &StepKey) -> usize {
+        let first = TaskKey { step: step.clone(), index: 0 };
+        self.runs.range(first..).take_while(|(task, _)| task.step == *step).count()
+    }
+
+    /// More tasks of a step that it has room for.
+    pub(crate) fn slots(&self, key: &StepKey, spec: &StepSpec) -> u64 {
+        let free = self.free();
+        let charge = spec.charge();
+        let fit = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
+        let by_room = fit(free.cpu_milli, charge.cpu_milli)
+            .min(fit(free.mem_mb, charge.mem_mb))
+            .min(fit(free.accels, charge.accels));
+        let most = spec.max_per_worker.map_or(u64::MAX, u64::from);
+        by_room.min(most.saturating_sub(self.runs_of(key) as u64))
+    }
+
     /// Its clock as far as we know.
     pub(crate) fn clock_now(&self, now: Millis) -> Millis {
         self.clock_ms + now.since(self.heard_ms)
--- a/components/cell/tests/world/mod.rs
+++ b/components/cell/tests/world/mod.rs
@@ -31,6 +31,8 @@
 const CALL_TIMEOUT_MS: u64 = 700;
 /// A leader that was replaced notices within this time.
 const FORMER_LEADER_MS: u64 = 1_000;
+/// With fewer workers up than this, none is lost for good.
+const MIN_WORKERS: usize = 6;
 /// Unix time of the start.
 const UNIX_START_MS: u64 = 1_700_000_000_000;
 
@@ -472,6 +474,10 @@
             }
             worker.crash(now);
         }
+        let up = self.workers.values().filter(|worker| worker.up).count();
+        if self.rng.random_range(0..4) == 0 && up > MIN_WORKERS {
+            return;
+        }
         let gap = self.rng.random_range(500..6_000);
         self.after(gap, Happening::WorkerBack(id));
     }
