A new life of a worker settles its runs by what it shows

Change: the list of workers only prompts a look; runs go by what the new life shows, unanswered orders are stopped there.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -357,8 +357,8 @@
                 let reborn = report.born_unix_ms > worker.life_unix_ms;
                 worker.report = report;
                 if reborn {
-                    let id = worker.report.id.clone();
-                    self.worker_reborn(&id, now);
+                    // Only the new life can tell which orders have come to it.
+                    self.actions.push(Action::Look(worker.report.id.clone()));
                 }
             }
             None => {
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -92,8 +92,10 @@
                 "silent_ms" => now.since(worker.heard_ms).0);
         }
         worker.reachable = true;
-        if look.born_unix_ms > worker.life_unix_ms {
-            self.worker_reborn_as(id, look.born_unix_ms, now);
+        let reborn = look.born_unix_ms > worker.life_unix_ms;
+        if reborn {
+            worker.begin_life(look.born_unix_ms, now);
+            event!("worker.reborn", "worker" => id.as_str(), "runs" => worker.runs.len());
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.clock_ms = look.clock_ms;
@@ -105,7 +107,7 @@
         for active in &look.active {
             self.run_seen(id, active, now);
         }
-        self.runs_not_seen(id, sent_ms, look, now);
+        self.runs_not_seen(id, sent_ms, look, reborn, now);
         if first {
             self.attached(id, look, now);
         }
@@ -130,41 +132,6 @@
         worker.reachable = false;
     }
 
-    /// The list of workers shows a new life of a worker.
-    pub(crate) fn worker_reborn(&mut self, id: &WorkerId, now: Millis) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let born = worker.report.born_unix_ms;
-        self.worker_reborn_as(id, born, now);
-    }
-
-    /// Another life of the worker began: what the former one ran is gone.
-    ///
-    /// Orders that had no answer may still arrive at the new life. Those are stopped there
-    /// before their tasks run again.
-    fn worker_reborn_as(&mut self, id: &WorkerId, born_unix_ms: u64, now: Millis) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        event!("worker.reborn", "worker" => id.as_str(), "runs" => worker.runs.len());
-        worker.life_unix_ms = born_unix_ms;
-        worker.lives += 1;
-        worker.processed = 0;
-        worker.acked = 0;
-        worker.clock_ms = Millis(0);
-        worker.heard_ms = Millis(0);
-        worker.lease_ms = Millis(0);
-        worker.attached = false;
-        worker.unknown_until_ms = now;
-        worker.health = crate::health::Health::default();
-        let keys: Vec<(TaskKey, RunState)> =
-            worker.runs.iter().map(|(key, run)| (key.clone(), run.state)).collect();
-        for (key, state) in keys {
-            if state == RunState::Starting {
-                self.stop_run(id, &key, "worker started anew", now);
-            } else {
-                self.free_run(id, &key, LOST_RETRY_MS, now);
-            }
-        }
-    }
-
     fn run_seen(&mut self, id: &WorkerId, active: &ActiveRun, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let key = &active.task;
@@ -242,7 +209,17 @@
     }
 
     /// Settles runs that the look should have shown but did not.
-    fn runs_not_seen(&mut self, id: &WorkerId, sent_ms: Millis, look: &Look, now: Millis) {
+    ///
+    /// What a former life of the worker ran is gone at once, but an order without an answer may
+    /// have come to the new life, and is stopped there before its task runs again.
+    fn runs_not_seen(
+        &mut self,
+        id: &WorkerId,
+        sent_ms: Millis,
+        look: &Look,
+        reborn: bool,
+        now: Millis,
+    ) {
         if look.more_ended {
             return;
         }
@@ -260,11 +237,11 @@
                 RunState::Stopped => gone.push(key.clone()),
                 RunState::Running => {
                     run.missing += 1;
-                    if run.missing >= LOST_LOOKS {
+                    if reborn || run.missing >= LOST_LOOKS {
                         gone.push(key.clone());
                     }
                 }
-                RunState::Starting if run.missing > 0 => unanswered.push(key.clone()),
+                RunState::Starting if reborn || run.missing > 0 => unanswered.push(key.clone()),
                 RunState::Starting | RunState::Stopping => {}
             }
         }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -144,6 +144,20 @@
         self.report.capacity.minus(&self.used)
     }
 
+    /// Another life of the worker has answered. Its runs are settled by what it shows.
+    pub(crate) fn begin_life(&mut self, born_unix_ms: u64, now: Millis) {
+        self.life_unix_ms = born_unix_ms;
+        self.lives += 1;
+        self.processed = 0;
+        self.acked = 0;
+        self.clock_ms = Millis(0);
+        self.heard_ms = Millis(0);
+        self.lease_ms = Millis(0);
+        self.attached = false;
+        self.unknown_until_ms = now;
+        self.health = crate::health::Health::default();
+    }
+
     /// Runs of a step on this worker.
     pub(crate) fn runs_of(&self, step: &StepKey) -> usize {
         let first = TaskKey { step: step.clone(), index: 0 };
