Strong processes lead

Change: the processor share goes with each process; weak ones leave the lead to much stronger ones and hand it over.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -7,9 +7,13 @@
 use crate::keys;
 use crate::leader::Leader;
 use crate::node::Node;
-use crate::peers::LeaderInfo;
+use crate::peers::{LeaderInfo, Peer};
 use crate::ports::{Commit, StoreError, Transaction};
 
+/// A process with this part of another's strength leaves the lead to that one.
+const MUCH_STRONGER_PERCENT: u32 = 150;
+/// Time that weak processes leave to strong ones to take the lead.
+const STRONGER_FIRST_MS: Millis = Millis(700);
 /// Without an answer of the store for this long, other processes are asked for the leader.
 const ASK_PEERS_MS: Millis = Millis(600);
 
@@ -26,6 +30,7 @@
                 Err(error) => event!("leader.unreadable", "error" => error.to_string()),
             },
             Ok(None) if self.stopping.is_cancelled() => {}
+            Ok(None) if self.leaves_lead_to_stronger() => {}
             Ok(None) => self.campaign().await,
             Err(_noted) => {
                 if clock::now().since(self.store_ms.get()) > ASK_PEERS_MS {
@@ -35,7 +40,22 @@
         }
     }
 
+    /// Whether a much stronger process is there, that should lead and has had no time yet.
+    fn leaves_lead_to_stronger(&self) -> bool {
+        let now = clock::now();
+        let since = self.leaderless_ms.get().unwrap_or(now);
+        self.leaderless_ms.set(Some(since));
+        now.since(since) < STRONGER_FIRST_MS && self.stronger_peer().is_some()
+    }
+
+    /// A process heard lately that is much stronger than this one.
+    pub(crate) fn stronger_peer(&self) -> Option<Peer> {
+        let own = self.settings.strength;
+        self.live_peers().into_iter().find(|peer| peer.strength * 100 > own * MUCH_STRONGER_PERCENT)
+    }
+
     fn note_leader(&self, leader: LeaderInfo) {
+        self.leaderless_ms.set(None);
         let known = self.leader.borrow().as_ref().map(|known| known.epoch);
         if known.is_none_or(|known| known < leader.epoch) {
             event!("leader.found", "epoch" => leader.epoch, "name" => leader.peer.name.as_str(),
@@ -91,6 +111,7 @@
         match revision {
             Some(revision) => {
                 event!("leader.elected", "epoch" => info.epoch, "name" => info.peer.name.as_str());
+                self.leaderless_ms.set(None);
                 *self.leader.borrow_mut() = Some(info.clone());
                 let leader = Leader::new(self, info.epoch, revision, lease, asked_ms);
                 self.take_lead(leader);
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -23,6 +23,8 @@
 const LEASE_MARGIN_MS: Millis = Millis(150);
 /// Pause after a failed attempt to load.
 const LOAD_RETRY_MS: Millis = Millis(100);
+/// Period of looking for a stronger process.
+const YIELD_PERIOD_MS: Millis = Millis(1_000);
 /// Period of the cell's clock.
 const TICK_MS: Millis = Millis(100);
 /// Shortest time between two rounds of placement, so that one round serves many events.
@@ -144,6 +146,7 @@
                 self.clone().store_loop(leader.clone()),
                 self.clone().tick_cell(leader.clone()),
                 self.clone().place_tasks(leader.clone()),
+                self.clone().yield_to_stronger(),
             );
         };
         tokio::join!(renewing, working);
@@ -227,6 +230,22 @@
         Ok(())
     }
 
+    /// Hands the lead over when a much stronger process is heard.
+    async fn yield_to_stronger(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(YIELD_PERIOD_MS.to_duration()).await;
+            let Some(peer) = self.stronger_peer() else { continue };
+            event!("leader.yields", "to" => peer.name.as_str(), "strength" => peer.strength,
+                "own" => self.settings.strength);
+            // The term's tasks end with it, this one among them.
+            let node = self.clone();
+            tokio::task::spawn_local(async move {
+                node.step_down("a stronger process is there", true).await;
+            });
+            return;
+        }
+    }
+
     async fn tick_cell(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             {
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -45,6 +45,8 @@
     pub name: CompactString,
     /// Where it takes messages of other processes.
     pub peer_address: SocketAddr,
+    /// Processor share, thousandths of a core.
+    pub strength: u32,
     /// Length of a leader's lease in the store.
     pub leader_lease_ms: Millis,
     /// Figures of the cell.
@@ -88,6 +90,8 @@
     pub(crate) store_failures: StdCell<u32>,
     pub(crate) pending_seen: RefCell<BTreeMap<types::QueueId, (u64, Millis)>>,
     pub(crate) stopping: CancellationToken,
+    /// When the store was first seen without a leader.
+    pub(crate) leaderless_ms: StdCell<Option<Millis>>,
 }
 
 impl Node {
@@ -109,6 +113,7 @@
             store_failures: StdCell::default(),
             pending_seen: RefCell::default(),
             stopping: CancellationToken::new(),
+            leaderless_ms: StdCell::default(),
         })
     }
 
@@ -128,7 +133,11 @@
     }
 
     pub(crate) fn me(&self) -> Peer {
-        Peer { name: self.settings.name.clone(), address: self.settings.peer_address }
+        Peer {
+            name: self.settings.name.clone(),
+            address: self.settings.peer_address,
+            strength: self.settings.strength,
+        }
     }
 
     /// Whether this process takes callers' work.
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -26,6 +26,8 @@
     pub(crate) name: CompactString,
     /// Where it takes messages.
     pub(crate) address: SocketAddr,
+    /// Processor share, thousandths of a core. Strong processes lead.
+    pub(crate) strength: u32,
 }
 
 /// The leader as known to a process.
