--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -35,6 +35,8 @@
 pub struct CellSettings {
     /// Length of the leases on workers.
     pub lease_ms: Millis,
+    /// Longest lease that workers grant; they shorten longer ones to this.
+    pub max_lease_ms: Millis,
     /// Ended jobs stay known this long.
     pub keep_ended_ms: Millis,
     /// Wait of a look for an end.
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -81,6 +81,7 @@
 impl Cell {
     /// A look was answered. `sent_ms` is when it was sent.
     pub fn look_answered(&mut self, id: &WorkerId, sent_ms: Millis, look: &Look, now: Millis) {
+        let max_lease_ms = self.settings.max_lease_ms;
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.attached && sent_ms < worker.looked_ms {
             // A look that was sent later has been answered before.
@@ -100,6 +101,10 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.clock_ms = look.clock_ms;
         worker.heard_ms = now;
+        if reborn {
+            // This look gave it a deadline on the clock of its former life.
+            worker.lease_ms = look.clock_ms + max_lease_ms;
+        }
         let first = !worker.attached;
         for end in &look.ended {
             self.run_ended(id, end, now);
--- a/components/cell/tests/batches.rs
+++ b/components/cell/tests/batches.rs
@@ -11,6 +11,7 @@
 fn settings() -> CellSettings {
     CellSettings {
         lease_ms: Millis(4_500),
+        max_lease_ms: Millis(6_000),
         keep_ended_ms: Millis(120_000),
         look_wait_ms: Millis(0),
     }
--- a/components/cell/tests/world/mod.rs
+++ b/components/cell/tests/world/mod.rs
@@ -240,6 +240,7 @@
         self.next_epoch += 1;
         let settings = CellSettings {
             lease_ms: LEASE_MS,
+            max_lease_ms: worker::MAX_LEASE_MS,
             keep_ended_ms: Millis(1_000_000),
             look_wait_ms: Millis(0),
         };
--- a/components/cell/tests/world/worker.rs
+++ b/components/cell/tests/world/worker.rs
@@ -17,7 +17,7 @@
 /// A gang whose members are not all there ends after this time.
 const GANG_TIMEOUT_MS: Millis = Millis(3_000);
 /// Longer leases are shortened to this.
-const MAX_LEASE_MS: Millis = Millis(6_000);
+pub const MAX_LEASE_MS: Millis = Millis(6_000);
 /// A stop takes this long.
 const STOP_MS: Millis = Millis(300);
 
