--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -1,6 +1,7 @@
 //! Who leads: the process whose lease holds the leader's key in the store.
 
 use eventlog::event;
+use serde::{Deserialize, Serialize};
 use types::Millis;
 
 use crate::codec::{decode, encode};
@@ -12,11 +13,19 @@
 
 /// A process with this part of another's strength leaves the lead to that one.
 const MUCH_STRONGER_PERCENT: u32 = 150;
-/// Time that weak processes leave to strong ones to take the lead.
-const STRONGER_FIRST_MS: Millis = Millis(700);
+/// Time that weak processes leave to strong ones to take the lead: they may start later by
+/// 300 ms, and an election takes some calls.
+const STRONGER_FIRST_MS: Millis = Millis(1_000);
 /// Without an answer of the store for this long, other processes are asked for the leader.
 const ASK_PEERS_MS: Millis = Millis(600);
 
+/// The last epoch, and the strongest process that ever led.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct EpochRecord {
+    epoch: u64,
+    strongest: u32,
+}
+
 impl Node {
     /// Reads the leader from the store, or takes the lead if there is none.
     pub(crate) async fn find_leader(&self) {
@@ -30,7 +39,6 @@
                 Err(error) => event!("leader.unreadable", "error" => error.to_string()),
             },
             Ok(None) if self.stopping.is_cancelled() => {}
-            Ok(None) if self.leaves_lead_to_stronger() => {}
             Ok(None) => self.campaign().await,
             Err(_noted) => {
                 if clock::now().since(self.store_ms.get()) > ASK_PEERS_MS {
@@ -40,18 +48,22 @@
         }
     }
 
-    /// Whether a much stronger process is there, that should lead and has had no time yet.
-    fn leaves_lead_to_stronger(&self) -> bool {
+    /// Whether a much stronger process is or was there, that should lead and has had no time yet.
+    fn leaves_lead_to_stronger(&self, strongest: u32) -> bool {
         let now = clock::now();
         let since = self.leaderless_ms.get().unwrap_or(now);
         self.leaderless_ms.set(Some(since));
-        now.since(since) < STRONGER_FIRST_MS && self.stronger_peer().is_some()
+        let stronger = self.is_much_stronger(strongest) || self.stronger_peer().is_some();
+        now.since(since) < STRONGER_FIRST_MS && stronger
     }
 
     /// A process heard lately that is much stronger than this one.
     pub(crate) fn stronger_peer(&self) -> Option<Peer> {
-        let own = self.settings.strength;
-        self.live_peers().into_iter().find(|peer| peer.strength * 100 > own * MUCH_STRONGER_PERCENT)
+        self.live_peers().into_iter().find(|peer| self.is_much_stronger(peer.strength))
+    }
+
+    fn is_much_stronger(&self, strength: u32) -> bool {
+        strength * 100 > self.settings.strength * MUCH_STRONGER_PERCENT
     }
 
     fn note_leader(&self, leader: LeaderInfo) {
@@ -75,11 +87,11 @@
         if !self.ensure_secret().await? {
             return Ok(());
         }
-        let epoch_item = self.store_result(store.get(keys::EPOCH).await)?;
-        let (last, epoch_revision) = match &epoch_item {
-            None => (0, 0),
-            Some(item) => match decode::<u64>(&item.value) {
-                Ok(epoch) => (epoch, item.revision),
+        let item = self.store_result(store.get(keys::EPOCH).await)?;
+        let (last, epoch_revision) = match &item {
+            None => (EpochRecord::default(), 0),
+            Some(item) => match decode::<EpochRecord>(&item.value) {
+                Ok(record) => (record, item.revision),
                 Err(error) => {
                     event!("leader.epoch_unreadable", "error" => error.to_string());
                     return Ok(());
@@ -87,8 +99,16 @@
             },
         };
         let known = self.leader.borrow().as_ref().map_or(0, |leader| leader.epoch);
-        let info = LeaderInfo { epoch: last.max(known) + 1, peer: self.me(), boot: self.boot };
-        let (Ok(value), Ok(epoch)) = (encode(&info), encode(&info.epoch)) else { return Ok(()) };
+        if self.leaves_lead_to_stronger(last.strongest) {
+            return Ok(());
+        }
+        let info =
+            LeaderInfo { epoch: last.epoch.max(known) + 1, peer: self.me(), boot: self.boot };
+        let record = EpochRecord {
+            epoch: info.epoch,
+            strongest: last.strongest.max(self.settings.strength),
+        };
+        let (Ok(value), Ok(epoch)) = (encode(&info), encode(&record)) else { return Ok(()) };
         let asked_ms = clock::now();
         let lease = self.store_result(store.lease(self.settings.leader_lease_ms).await)?;
         let transaction = Transaction {
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -146,10 +146,9 @@
                 self.clone().store_loop(leader.clone()),
                 self.clone().tick_cell(leader.clone()),
                 self.clone().place_tasks(leader.clone()),
-                self.clone().yield_to_stronger(),
             );
         };
-        tokio::join!(renewing, working);
+        tokio::join!(renewing, working, self.clone().yield_to_stronger());
     }
 
     async fn keep_lease(self: Rc<Self>, leader: Rc<Leader>) {
