--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -62,6 +62,16 @@
         })
     }
 
+    /// Workers that are known to be allowed, with a fresh ticket or without.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &WorkerId> {
+        self.tickets.keys()
+    }
+
+    /// Whether a call may be made now.
+    pub(crate) fn may_ask(&self, now: Millis) -> bool {
+        !self.asking && now >= self.not_before_ms
+    }
+
     pub(crate) fn is_denied(&self, worker: &WorkerId) -> bool {
         self.denied.contains(worker)
     }
@@ -109,7 +119,7 @@
         lead_ms: Millis,
         now: Millis,
     ) -> Vec<(WorkerId, u64)> {
-        if self.asking || now < self.not_before_ms {
+        if !self.may_ask(now) {
             return Vec::new();
         }
         let open = || candidates.iter().filter(|one| !self.is_denied(&one.id));
@@ -191,27 +201,30 @@
         for calls in self.machines.values_mut() {
             calls.retain(|(_, _, since)| now.since(*since) < LOST_CALL_MS);
         }
+        let name = self.least_busy(takes_ms, now)?.clone();
+        let calls = self.machines.get_mut(&name)?;
+        self.next_call += 1;
+        calls.push((self.next_call, takes_ms, now));
+        Some((name, self.next_call))
+    }
+
+    /// Whether some machine would take a call now.
+    pub(crate) fn has_free(&self, takes_ms: f64, now: Millis) -> bool {
+        self.least_busy(takes_ms, now).is_some()
+    }
+
+    fn least_busy(&self, takes_ms: f64, now: Millis) -> Option<&CompactString> {
         let reserved = if self.machines.len() > 1 { (self.machines.len() / 3).max(1) } else { 0 };
-        let backlog = |calls: &Vec<(u64, f64, Millis)>| -> f64 {
-            calls
-                .iter()
-                .map(|(_, takes, since)| (takes - now.since(*since).0 as f64).max(1.0))
-                .sum()
-        };
         let long = takes_ms > LONG_CALL_MS;
         let limit_ms = if long { 1.0 } else { SHORT_BACKLOG_MS };
         let skipped = if long { reserved } else { 0 };
-        let (name, calls) = self
-            .machines
-            .iter_mut()
+        self.machines
+            .iter()
             .skip(skipped)
-            .map(|(name, calls)| (backlog(calls), name, calls))
-            .filter(|(busy_ms, ..)| *busy_ms < limit_ms)
-            .min_by(|(left, ..), (right, ..)| left.total_cmp(right))
-            .map(|(_, name, calls)| (name, calls))?;
-        self.next_call += 1;
-        calls.push((self.next_call, takes_ms, now));
-        Some((name.clone(), self.next_call))
+            .map(|(name, calls)| (backlog_ms(calls, now), name))
+            .filter(|(busy_ms, _)| *busy_ms < limit_ms)
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, name)| name)
     }
 
     /// A call has ended.
@@ -221,3 +234,8 @@
         }
     }
 }
+
+/// Work in progress of a machine.
+fn backlog_ms(calls: &[(u64, f64, Millis)], now: Millis) -> f64 {
+    calls.iter().map(|(_, takes, since)| (takes - now.since(*since).0 as f64).max(1.0)).sum()
+}
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -281,10 +281,6 @@
         if self.jobs.contains_key(&record.id) {
             return;
         }
-        event!("job.known", "job" => record.id.as_str(), "queue" => record.queue.as_str(),
-            "team" => record.team.as_ref().map(|team| team.to_string()),
-            "steps" => record.spec.steps.len(),
-            "age_ms" => self.unix_ms(now).saturating_sub(record.accepted_unix_ms));
         let age = Millis(self.unix_ms(now).saturating_sub(record.accepted_unix_ms));
         if let Some(team) = &record.team {
             let weight = self.policy.teams.get(team).map_or(0.0, |policy| policy.weight);
@@ -292,6 +288,11 @@
         }
         let mut job = Job::new(record, now - age);
         job.over_share = job.record.team.as_ref().is_some_and(|team| self.shares.is_over(team));
+        event!("job.known", "job" => job.record.id.as_str(),
+            "queue" => job.record.queue.as_str(),
+            "team" => job.record.team.as_ref().map(|team| team.to_string()),
+            "over_share" => job.over_share, "steps" => job.record.spec.steps.len(),
+            "age_ms" => age.0);
         self.jobs.insert(job.record.id.clone(), job);
         self.changed = true;
     }
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -28,9 +28,9 @@
 /// Position of a step among all that wait. Lower goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    pub(crate) outlook: Outlook,
-    /// Its team sends more than its share.
+    /// Its team sends more than its share: it takes only room that others leave.
     pub(crate) over_share: bool,
+    pub(crate) outlook: Outlook,
     pub(crate) priority: u32,
     pub(crate) deadline_ms: Millis,
 }
@@ -63,7 +63,7 @@
     } else {
         Outlook::Overdue
     };
-    Rank { outlook, over_share, priority: policy.priority, deadline_ms: due_ms + objective }
+    Rank { over_share, outlook, priority: policy.priority, deadline_ms: due_ms + objective }
 }
 
 /// Jobs a team may send at once above its rate before they count as over its share, in seconds
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -12,6 +12,7 @@
 use crate::job::{Job, Phase};
 use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::order::{Rank, rank};
+use crate::worker::Worker;
 
 /// A ticket is renewed this long before it lapses, and the time of a short call.
 const ADVICE_LEAD_MS: Millis = Millis(150);
@@ -192,23 +193,31 @@
         };
         let mut free: BTreeMap<&WorkerId, (Resources, u32)> = BTreeMap::new();
         let mut rack: Option<RackId> = None;
-        for (id, worker) in &self.workers {
-            let usable = worker.attached
-                && worker.reachable
-                && worker.listed
-                && !worker.report.draining
-                && worker.report.service == queue.service
-                && spec.label.as_ref().is_none_or(|label| worker.report.labels.contains(label))
-                && !worker.health.rests(now)
-                && (queue.advice.is_none()
-                    || step.advice.ticket(id, worker.life_unix_ms, now).is_some());
+        let charge = spec.charge();
+        let mut consider = |id, worker: &Worker| {
+            if !worker.free().holds(&charge) && !spec.one_rack {
+                return;
+            }
             let of_step = worker.runs_of(key);
             if of_step > 0 && spec.one_rack {
                 rack.clone_from(&worker.report.rack);
             }
-            if usable && worker.free().holds(&spec.charge()) {
+            if worker.takes(queue, spec, now) && worker.free().holds(&charge) {
                 free.insert(id, (worker.free(), of_step as u32));
             }
+        };
+        if queue.advice.is_some() {
+            // Few workers have a ticket, so these are looked up instead of all.
+            for id in step.advice.known() {
+                let Some((id, worker)) = self.workers.get_key_value(id) else { continue };
+                if step.advice.ticket(id, worker.life_unix_ms, now).is_some() {
+                    consider(id, worker);
+                }
+            }
+        } else {
+            for (id, worker) in &self.workers {
+                consider(id, worker);
+            }
         }
         let mut limit = self.team_room(key, spec);
         let mut chosen = Vec::new();
@@ -330,21 +339,20 @@
         tasks: usize,
         now: Millis,
     ) {
-        if self.team_room(key, spec) == 0 {
+        let idle = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step(key.occurrence, key.step))
+            .is_some_and(|step| step.advice.may_ask(now));
+        let shortest_ms = call_ms(&advice, 1);
+        if !idle || !self.callers.has_free(shortest_ms, now) || self.team_room(key, spec) == 0 {
             return;
         }
         let mut usable: Vec<AskCandidate> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
-                worker.attached
-                    && worker.reachable
-                    && worker.listed
-                    && !worker.report.draining
-                    && worker.report.service == queue.service
-                    && spec.label.as_ref().is_none_or(|label| worker.report.labels.contains(label))
-                    && worker.report.capacity.holds(&spec.charge())
-                    && !worker.health.rests(now)
+                worker.takes(queue, spec, now) && worker.report.capacity.holds(&spec.charge())
             })
             .map(|(id, worker)| AskCandidate {
                 id: id.clone(),
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -6,7 +6,7 @@
 use libs::compact_str::CompactString;
 use types::{Millis, RackId, Resources, TeamId, WorkerId};
 
-use crate::model::{StepKey, StepSpec, TaskKey};
+use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
 
 /// A worker's clock may run this much slower than ours, in percent, and we allow for one more.
 const CLOCK_DRIFT_PERCENT: u64 = 3;
@@ -144,6 +144,17 @@
         self.report.capacity.minus(&self.used)
     }
 
+    /// Whether it may get tasks of a step now, room and tickets aside.
+    pub(crate) fn takes(&self, queue: &QueuePolicy, spec: &StepSpec, now: Millis) -> bool {
+        self.attached
+            && self.reachable
+            && self.listed
+            && !self.report.draining
+            && self.report.service == queue.service
+            && spec.label.as_ref().is_none_or(|label| self.report.labels.contains(label))
+            && !self.health.rests(now)
+    }
+
     /// Another life of the worker has answered. Its runs are settled by what it shows.
     pub(crate) fn begin_life(&mut self, born_unix_ms: u64, now: Millis) {
         self.life_unix_ms = born_unix_ms;
--- a/components/cluster/src/front.rs
+++ b/components/cluster/src/front.rs
@@ -6,6 +6,7 @@
 use types::{JobId, Millis, QueueId};
 
 use crate::codec::encode;
+use crate::comeback::retry_after_s;
 use crate::keys;
 use crate::leader::read;
 use crate::node::Node;
@@ -57,6 +58,15 @@
 }
 
 impl Node {
+    /// Whole seconds after which a caller that is refused now may come back.
+    pub fn retry_after_s(&self) -> u64 {
+        let outage_ms = match self.store_failures.get() {
+            0 => Millis(0),
+            _ => clock::now().since(self.store_ms.get()),
+        };
+        retry_after_s(outage_ms, libs::rand::random())
+    }
+
     /// Stores a job, here or through another process, and tells the leader.
     pub async fn accept(&self, record: JobRecord) -> Accepted {
         let here = if self.store_failures.get() >= GONE_FAILURES {
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -265,6 +265,7 @@
     async fn place_tasks(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             leader.changed.notified().await;
+            let began_ms = clock::now();
             let actions = {
                 let may_start = self.may_start(&leader);
                 let mut cell = leader.cell.borrow_mut();
@@ -276,7 +277,9 @@
                 self.carry_out(&leader, action);
             }
             leader.to_store.notify_one();
-            tokio::time::sleep(ROUND_MS.to_duration()).await;
+            // A long round is followed by a long pause, so that answers are taken in between.
+            let took_ms = clock::now().since(began_ms);
+            tokio::time::sleep(ROUND_MS.max(took_ms).to_duration()).await;
         }
     }
 }
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -5,6 +5,7 @@
 //! others help it with calls to the advisor and can take its place at any time.
 
 mod codec;
+mod comeback;
 mod election;
 mod front;
 mod intake;
@@ -18,6 +19,7 @@
 mod ports;
 mod rules;
 
+pub use comeback::retry_after_s;
 pub use front::{Accepted, Cancelled, Found};
 pub use node::{Node, NodeSettings};
 pub use ports::{
