Tasks that save their progress make room for urgent ones

Cause: in bursts a fifth of the quick jobs waits for room while long tasks with seconds of slack hold it. Change: a waiting step of the most urgent queue stops less urgent tasks with checkpoints on workers that it may use, each task twice at most; the choice is in components/cell/src/preempt.rs.

--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -8,6 +8,7 @@
 
 use crate::advice::StepAdvice;
 use crate::model::{Final, JobRecord, JobStatus, Progress, StepProgress};
+use crate::order::Outlook;
 
 /// Where a task stands.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -30,6 +31,8 @@
     /// Numbers of the runs that failed.
     pub(crate) failed: Vec<u32>,
     pub(crate) checkpoint: CompactString,
+    /// Times it was stopped for more urgent work.
+    pub(crate) preempted: u32,
     /// Not started before this time.
     pub(crate) not_before_ms: Millis,
 }
@@ -44,6 +47,8 @@
     pub(crate) advice: StepAdvice,
     /// Time at which its turn came.
     pub(crate) ready_ms: Option<Millis>,
+    /// No tasks are stopped for it before this time.
+    pub(crate) preempt_after_ms: Millis,
 }
 
 impl Step {
@@ -108,6 +113,8 @@
     pub(crate) chain_ms: Millis,
     /// Its team sent more than its share when it came.
     pub(crate) over_share: bool,
+    /// What it can still reach, as last ranked.
+    pub(crate) outlook: Outlook,
 }
 
 impl Job {
@@ -126,6 +133,7 @@
             next: 0,
             chain_ms,
             over_share: false,
+            outlook: Outlook::InTime,
         };
         if job.record.spec.timetable.is_none() {
             job.open_next();
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -12,6 +12,7 @@
 mod looks;
 mod model;
 mod order;
+mod preempt;
 mod schedule;
 mod watch;
 mod worker;
--- /dev/null
+++ b/components/cell/src/preempt.rs
@@ -0,0 +1,133 @@
+//! Which running tasks make room for urgent ones.
+//!
+//! Load pattern: a burst of short urgent jobs on a fleet that is four fifths busy with long
+//! tasks that save their progress. A stopped task saves once more, so it loses no work, and its
+//! job has seconds of slack; an urgent job is late after one.
+
+use types::{Millis, Resources, WorkerId};
+
+use crate::cell::Cell;
+use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
+use crate::order::Outlook;
+use crate::worker::{RunState, Worker};
+
+/// Times that one task may be stopped for others.
+const MAX_TIMES: u32 = 2;
+/// A run is left alone this long after its start: a restart costs some hundred milliseconds.
+const MIN_RUN_MS: Millis = Millis(700);
+/// Pause between two choices for the same step: stops take up to 900 ms.
+const PAUSE_MS: Millis = Millis(300);
+/// Stops ordered at once for one step.
+const MAX_STOPS: usize = 12;
+
+/// A run that may be stopped.
+struct Victim {
+    worker: WorkerId,
+    task: TaskKey,
+    frees: Resources,
+    /// Its job cannot be in time any more.
+    late: bool,
+}
+
+impl Cell {
+    /// Stops less urgent tasks so that `tasks` tasks of a step find room soon.
+    pub(crate) fn preempt(
+        &mut self,
+        key: &StepKey,
+        spec: &StepSpec,
+        queue: &QueuePolicy,
+        tasks: usize,
+        now: Millis,
+    ) {
+        let Some(step) =
+            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
+        else {
+            return;
+        };
+        if now < step.preempt_after_ms || step.advice.known().next().is_none() {
+            return;
+        }
+        step.preempt_after_ms = now + PAUSE_MS;
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
+        else {
+            return;
+        };
+        let mut missing = spec.charge().times(tasks as u64);
+        let mut victims = Vec::new();
+        for id in step.advice.known() {
+            let Some(worker) = self.workers.get(id) else { continue };
+            if !worker.takes(queue, spec, now) {
+                continue;
+            }
+            // What is being stopped there becomes free anyway.
+            missing = missing.minus(&being_freed(worker));
+            self.collect_victims(id, worker, queue.priority, now, &mut victims);
+        }
+        victims.sort_by_key(|victim| (!victim.late, std::cmp::Reverse(victim.frees.cpu_milli)));
+        let mut chosen = 0;
+        for victim in victims {
+            if missing.cpu_milli == 0 || chosen >= MAX_STOPS {
+                break;
+            }
+            missing = missing.minus(&victim.frees);
+            chosen += 1;
+            self.count_preemption(&victim.task);
+            self.stop_run(&victim.worker, &victim.task, "room for urgent work", now);
+        }
+    }
+
+    fn collect_victims(
+        &self,
+        id: &WorkerId,
+        worker: &Worker,
+        priority: u32,
+        now: Millis,
+        victims: &mut Vec<Victim>,
+    ) {
+        for (task, run) in &worker.runs {
+            if run.state != RunState::Running || now.since(run.began_ms) < MIN_RUN_MS {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&task.step.job) else { continue };
+            let Some(spec) = job.record.spec.steps.get(usize::from(task.step.step)) else {
+                continue;
+            };
+            let movable = spec.checkpoints
+                && !spec.lasting
+                && !spec.gang
+                && !spec.scavenges
+                && spec.max_unavailable.is_none();
+            let less_urgent = Cell::queue_policy(&self.policy, &job.record).priority > priority;
+            let stopped_before = job
+                .step(task.step.occurrence, task.step.step)
+                .and_then(|step| step.tasks.get(task.index as usize))
+                .map_or(0, |task| task.preempted);
+            if movable && less_urgent && stopped_before < MAX_TIMES {
+                victims.push(Victim {
+                    worker: id.clone(),
+                    task: task.clone(),
+                    frees: run.charge,
+                    late: job.outlook != Outlook::InTime,
+                });
+            }
+        }
+    }
+
+    fn count_preemption(&mut self, key: &TaskKey) {
+        let step = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|job| job.step_mut(key.step.occurrence, key.step.step));
+        if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize)) {
+            task.preempted += 1;
+        }
+    }
+}
+
+fn being_freed(worker: &Worker) -> Resources {
+    worker
+        .runs
+        .values()
+        .filter(|run| matches!(run.state, RunState::Stopping | RunState::Stopped))
+        .fold(Resources::ZERO, |sum, run| sum.plus(&run.charge))
+}
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -11,7 +11,7 @@
 use crate::fit;
 use crate::job::{Job, Phase};
 use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
-use crate::order::{Rank, rank};
+use crate::order::{Outlook, Rank, rank};
 use crate::worker::Worker;
 
 /// A ticket is renewed this long before it lapses, and the time of a short call.
@@ -36,7 +36,7 @@
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
         for candidate in candidates {
-            self.place_step(&candidate.key, now);
+            self.place_step(&candidate, now);
         }
     }
 
@@ -53,27 +53,20 @@
             for number in numbers {
                 let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
                 let queue = Cell::queue_policy(&policy, &job.record).clone();
-                found.extend(ready_steps(job, number, now).into_iter().map(
-                    |(step, left_ms, lasting)| {
-                        let rank = rank(
-                            &queue,
-                            due_ms,
-                            job.chain_ms,
-                            left_ms,
-                            job.over_share,
-                            lasting,
-                            now,
-                        );
-                        let key = StepKey { job: id.clone(), occurrence: number, step };
-                        Candidate { rank, key }
-                    },
-                ));
+                for (step, left_ms, lasting) in ready_steps(job, number, now) {
+                    let rank =
+                        rank(&queue, due_ms, job.chain_ms, left_ms, job.over_share, lasting, now);
+                    job.outlook = rank.outlook;
+                    let key = StepKey { job: id.clone(), occurrence: number, step };
+                    found.push(Candidate { rank, key });
+                }
             }
         }
         found
     }
 
-    fn place_step(&mut self, key: &StepKey, now: Millis) {
+    fn place_step(&mut self, candidate: &Candidate, now: Millis) {
+        let key = &candidate.key;
         let Some(job) = self.jobs.get(&key.job) else { return };
         let record = job.record.clone();
         let Some(spec) = record.spec.steps.get(usize::from(key.step)) else { return };
@@ -100,6 +93,10 @@
         {
             self.ask(key, spec, &queue, advice, waiting.len() - started, now);
         }
+        let urgent = candidate.rank.outlook == Outlook::InTime && !candidate.rank.over_share;
+        if started < waiting.len() && urgent && queue.priority == 0 {
+            self.preempt(key, spec, &queue, waiting.len() - started, now);
+        }
     }
 
     fn start_chosen(
