--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -46,6 +46,8 @@
     denied: BTreeSet<WorkerId>,
     /// A call is in progress.
     pub(crate) asking: bool,
+    /// Calls made so far.
+    pub(crate) calls: u32,
     not_before_ms: Millis,
 }
 
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -127,6 +127,20 @@
             let task = TaskKey { step: key.clone(), index };
             self.start_run(&worker, task, spec, attempt, ticket, now);
         }
+        self.log_if_placed(key, now);
+    }
+
+    /// Logs how long a step waited, once all its tasks are placed.
+    fn log_if_placed(&self, key: &StepKey, now: Millis) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(key.occurrence, key.step) else { return };
+        if step.waiting > 0 {
+            return;
+        }
+        event!("step.placed", "step" => key.to_string(), "tasks" => step.tasks.len(),
+            "priority" => Cell::queue_policy(&self.policy, &job.record).priority,
+            "wait_ms" => now.since(step.ready_ms.unwrap_or(now)).0,
+            "advice_calls" => step.advice.calls, "outlook" => format!("{:?}", job.outlook));
     }
 
     /// All members of a gang go on from the same checkpoint.
@@ -372,6 +386,7 @@
         let takes_ms = call_ms(&advice, workers.len());
         let Some((machine, call)) = self.callers.reserve(takes_ms, now) else { return };
         step.advice.asking = true;
+        step.advice.calls += 1;
         event!("advice.ask", "step" => key.to_string(), "workers" => workers.len(),
             "machine" => machine.as_str(), "takes_ms" => takes_ms, "tasks" => tasks);
         self.actions.push(Action::Ask { machine, call, step: key.clone(), workers });
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -10,7 +10,7 @@
 use types::Millis;
 
 pub use libs::tokio_util::sync::CancellationToken;
-pub use shutdown::cancel_on_signals;
+pub use shutdown::{cancel_on_signals, on_reload_signal};
 pub use timer::Timer;
 
 /// Time since the first call in this process. It never goes back, and goes on while the
--- a/components/clock/src/shutdown.rs
+++ b/components/clock/src/shutdown.rs
@@ -1,9 +1,9 @@
-//! Turns termination signals into cancellation.
+//! Turns signals into cancellation and into notices.
 
 use std::thread;
 
 use errors::{Error, Result};
-use libs::signal_hook::consts::{SIGINT, SIGTERM};
+use libs::signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use libs::signal_hook::iterator::Signals;
 
 use crate::CancellationToken;
@@ -22,3 +22,14 @@
         .map_err(|error| Error::File("signal thread".to_owned(), error))?;
     Ok(())
 }
+
+/// Calls `reload` for each SIGHUP, on a thread of its own.
+pub fn on_reload_signal(reload: impl Fn() + Send + 'static) -> Result<()> {
+    let mut signals =
+        Signals::new([SIGHUP]).map_err(|error| Error::File("signals".to_owned(), error))?;
+    thread::Builder::new()
+        .name("reload".to_owned())
+        .spawn(move || signals.forever().for_each(|_| reload()))
+        .map_err(|error| Error::File("reload thread".to_owned(), error))?;
+    Ok(())
+}
