--- a/components/pool/src/inventory.rs
+++ b/components/pool/src/inventory.rs
@@ -2,7 +2,7 @@
 
 use placement::WorkerSlot;
 use timeline::EventKind;
-use types::{BackendState, Resources, RunnerInfo, WorkerId, WorkerInfo};
+use types::{Resources, RunnerInfo, WorkerId, WorkerInfo};
 
 use crate::pool::{FollowUp, Pool};
 use crate::record::Record;
@@ -38,10 +38,8 @@
                 }
             }
         }
-        self.runners.by_id.retain(|_, runner| {
-            let may_run = !runner.grants.is_empty() && runner.state != BackendState::Down;
-            runner.listed || may_run
-        });
+        // Also the grants of a runner that is down count until they lapse.
+        self.runners.by_id.retain(|_, runner| runner.listed || !runner.grants.is_empty());
         self.needs_placing = true;
     }
 
@@ -132,3 +130,7 @@
         self.append(Record::WorkerJoined(id.clone(), url), Some(FollowUp::Joined(id.clone())));
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/inventory.rs"]
+mod tests;
