--- a/components/cell/tests/world/checks.rs
+++ b/components/cell/tests/world/checks.rs
@@ -131,6 +131,26 @@
         }
     }
 
+    /// Whether any task of a job has ever started.
+    pub fn has_started(&self, id: &JobId) -> bool {
+        self.tasks.iter().any(|(key, seen)| key.step.job == *id && !seen.starts.is_empty())
+    }
+
+    /// Whether all tasks of a job are done.
+    pub fn is_done(&self, id: &JobId) -> bool {
+        self.all_tasks(id, &|seen| seen.done)
+    }
+
+    fn all_tasks(&self, id: &JobId, test: &dyn Fn(&TaskSeen) -> bool) -> bool {
+        let Some(record) = self.jobs.get(id) else { return false };
+        (0u16..).zip(&record.spec.steps).all(|(step, spec)| {
+            (0..spec.tasks).all(|index| {
+                let step = StepKey { job: id.clone(), occurrence: 0, step };
+                self.tasks.get(&TaskKey { step, index }).is_some_and(test)
+            })
+        })
+    }
+
     /// What can only be judged at the end: a failed run counts once its end is acknowledged,
     /// then or later.
     pub fn finish(&mut self) {
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -28,6 +28,8 @@
     pub method: Method,
     /// Path without the query.
     pub path: String,
+    /// Query, without the question mark; may be empty.
+    pub query: String,
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
@@ -114,6 +116,7 @@
             handler(ServerRequest {
                 method: head.method,
                 path: head.uri.path().to_owned(),
+                query: head.uri.query().unwrap_or_default().to_owned(),
                 headers: head.headers,
                 body: body.to_bytes(),
             })
