--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -423,6 +423,11 @@
         self.workers.values().filter(matters).map(row).collect()
     }
 
+    /// Jobs in memory.
+    pub fn jobs_known(&self) -> u64 {
+        self.jobs.len() as u64
+    }
+
     /// Free and whole processor room of workers that take new work, in thousandths of a core.
     pub fn room(&self) -> (u64, u64) {
         let usable =
--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -64,13 +64,11 @@
             self.collect_victims(id, worker, queue.priority, now, &mut victims);
         }
         victims.sort_by_key(|victim| (!victim.late, std::cmp::Reverse(victim.frees.cpu_milli)));
-        let mut chosen = 0;
-        for victim in victims {
-            if missing.cpu_milli == 0 || chosen >= MAX_STOPS {
+        for victim in victims.into_iter().take(MAX_STOPS) {
+            if missing.cpu_milli == 0 {
                 break;
             }
             missing = missing.minus(&victim.frees);
-            chosen += 1;
             self.count_preemption(&victim.task);
             self.stop_run(&victim.worker, &victim.task, "room for urgent work", now);
         }
--- a/components/cluster/src/front.rs
+++ b/components/cluster/src/front.rs
@@ -69,6 +69,7 @@
 
     /// Stores a job, here or through another process, and tells the leader.
     pub async fn accept(&self, record: JobRecord) -> Accepted {
+        let began_ms = clock::now();
         let here = if self.store_failures.get() >= GONE_FAILURES {
             Accepted::NotStored
         } else {
@@ -78,6 +79,7 @@
             Accepted::NotStored => self.accept_elsewhere(&record).await,
             other => other,
         };
+        self.metrics.time_ms("accept_ms", clock::now().since(began_ms).0);
         self.metrics.count(match outcome {
             Accepted::Stored => "jobs_accepted",
             Accepted::NotStored => "jobs_refused",
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -255,6 +255,10 @@
                     self.live_peers().into_iter().map(|peer| peer.name).collect();
                 callers.push(self.settings.name.clone());
                 cell.set_callers(&callers);
+                let (free, whole) = cell.room();
+                self.metrics.gauge("free_cpu_milli", free);
+                self.metrics.gauge("whole_cpu_milli", whole);
+                self.metrics.gauge("jobs_known", cell.jobs_known());
             }
             self.look_at_workers(&leader);
             leader.changed.notify_one();
@@ -279,6 +283,7 @@
             leader.to_store.notify_one();
             // A long round is followed by a long pause, so that answers are taken in between.
             let took_ms = clock::now().since(began_ms);
+            self.metrics.time_ms("placement_round_ms", took_ms.0);
             tokio::time::sleep(ROUND_MS.max(took_ms).to_duration()).await;
         }
     }
--- a/components/cluster/src/orders.rs
+++ b/components/cluster/src/orders.rs
@@ -40,9 +40,11 @@
     }
 
     async fn start(self: Rc<Self>, leader: Rc<Leader>, order: Box<StartOrder>) {
+        let began_ms = clock::now();
         let answer = self.ports.workers.start(&order).await;
         self.metrics.count("starts");
         let now = clock::now();
+        self.metrics.time_ms("start_ms", now.since(began_ms).0);
         leader.cell.borrow_mut().start_answered(
             &order.worker,
             &order.task,
@@ -88,7 +90,9 @@
     ) {
         let ids: Vec<WorkerId> = workers.iter().map(|(id, _)| id.clone()).collect();
         self.metrics.count("advice_calls");
+        let began_ms = clock::now();
         let advice = self.advice_through(&machine, &step, ids).await;
+        self.metrics.time_ms("advice_ms", clock::now().since(began_ms).0);
         let answer = advice.as_ref().map(|advice| (advice.allowed.as_slice(), advice.valid_ms));
         leader.cell.borrow_mut().advised(call, &step, &workers, answer, clock::now());
         leader.changed.notify_one();
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -57,7 +57,10 @@
         loop {
             let batch = leader.cell.borrow_mut().take_batch(BATCH_JOBS);
             let Some(batch) = batch else { return true };
-            match self.store_batch(leader, &batch).await {
+            let began_ms = clock::now();
+            let outcome = self.store_batch(leader, &batch).await;
+            self.metrics.time_ms("batch_ms", clock::now().since(began_ms).0);
+            match outcome {
                 Stored::Done(revision) => {
                     leader.batch_revision.set(revision);
                     leader.cell.borrow_mut().batch_stored(&batch);
