Work that can wait yields to late urgent work; preemption counts what all urgent steps of a round lack

Cause: components/cell/tests/load_patterns.rs, new: after a burst on a full fleet the room that long tasks had made was taken back by those tasks, since quick jobs were late by then and ranked lower; and each urgent step took the stops ordered for the one before as its own. Change: an outlook between late and too late for work with more than 0.35 of its objective to spare; one sum of missing room for each round.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -190,6 +190,8 @@
     /// Some inherited task may run on a worker that was not seen yet.
     pub(crate) recovering: bool,
     pub(crate) logged_unknown_ms: Millis,
+    /// Room that urgent steps lack in this round of placement.
+    pub(crate) wanted_by_urgent: Resources,
     /// Starts may be ordered.
     pub(crate) may_start: bool,
     /// Something changed since the last scheduling.
@@ -217,6 +219,7 @@
             actions: Vec::new(),
             recovering: true,
             logged_unknown_ms: Millis(0),
+            wanted_by_urgent: Resources::ZERO,
             may_start: true,
             changed: true,
             shares: crate::order::Shares::default(),
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -189,6 +189,7 @@
             "worker" => id.as_str(), "wanted" => wanted, "percent" => active.percent);
         let mut run = new_run(&spec, team, active.attempt, RunState::Running, now);
         run.percent = active.percent;
+        run.gauge = active.gauge;
         add_use(&mut self.used_by_team, &run);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(key.clone(), run);
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -2,8 +2,9 @@
 //!
 //! Load pattern: bursts of two on a fleet that is four fifths busy. For some seconds there is
 //! more work than room, and what is served late is worth a fifth of what is served in time.
-//! Steps that can still meet their objective go first, by priority; those that are late but
-//! still worth something follow; the rest waits for idle room.
+//! Steps that must begin now to meet their objective go first, by priority; those that are late
+//! but still worth something follow; then those that can wait without being late; what is too
+//! late to be of use takes idle room.
 
 use std::collections::BTreeMap;
 
@@ -14,6 +15,15 @@
 /// A job that ends within this many objectives is late; after that it is worth nothing.
 const LATE_FACTOR: f64 = 3.0;
 
+/// A job can wait while more than this part of its objective is to spare: declared run times are
+/// off by half and more.
+const PATIENT_PART: f64 = 0.35;
+
+/// Jobs of the most urgent queues never wait for others.
+fn queue_can_wait(policy: &QueuePolicy) -> bool {
+    policy.priority > 0
+}
+
 /// What a job can still reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Outlook {
@@ -21,6 +31,8 @@
     InTime,
     /// It can still end within three objectives.
     Late,
+    /// It can end within its objective also if it begins later.
+    Patient,
     /// It is too late to be of use, but must be done.
     Overdue,
 }
@@ -56,7 +68,11 @@
     let objective = objective_ms(policy, chain_ms);
     let late = Millis((objective.0 as f64 * LATE_FACTOR) as u64);
     let ends = now + left_ms;
-    let outlook = if lasting || ends <= due_ms + objective {
+    let spare = (due_ms + objective).since(ends);
+    let patient = Millis((objective.0 as f64 * PATIENT_PART) as u64);
+    let outlook = if !lasting && queue_can_wait(policy) && spare > patient {
+        Outlook::Patient
+    } else if lasting || ends <= due_ms + objective {
         Outlook::InTime
     } else if ends <= due_ms + late {
         Outlook::Late
--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -25,8 +25,8 @@
     worker: WorkerId,
     task: TaskKey,
     frees: Resources,
-    /// Its job cannot be in time any more.
-    late: bool,
+    /// Its job must go on to be in time.
+    in_time: bool,
 }
 
 impl Cell {
@@ -39,6 +39,9 @@
         tasks: usize,
         now: Millis,
     ) {
+        // Steps before this one in the same round wait for room, too.
+        self.wanted_by_urgent = self.wanted_by_urgent.plus(&spec.charge().times(tasks as u64));
+        let mut missing = self.wanted_by_urgent;
         let Some(step) =
             self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
         else {
@@ -52,7 +55,6 @@
         else {
             return;
         };
-        let mut missing = spec.charge().times(tasks as u64);
         let mut victims = Vec::new();
         for id in step.advice.known() {
             let Some(worker) = self.workers.get(id) else { continue };
@@ -63,7 +65,7 @@
             missing = missing.minus(&being_freed(worker));
             self.collect_victims(id, worker, queue.priority, now, &mut victims);
         }
-        victims.sort_by_key(|victim| (!victim.late, std::cmp::Reverse(victim.frees.cpu_milli)));
+        victims.sort_by_key(|victim| (victim.in_time, std::cmp::Reverse(victim.frees.cpu_milli)));
         for victim in victims.into_iter().take(MAX_STOPS) {
             if missing.cpu_milli == 0 {
                 break;
@@ -105,7 +107,7 @@
                     worker: id.clone(),
                     task: task.clone(),
                     frees: run.charge,
-                    late: job.outlook != Outlook::InTime,
+                    in_time: job.outlook == Outlook::InTime,
                 });
             }
         }
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -33,6 +33,7 @@
             return;
         }
         self.changed = false;
+        self.wanted_by_urgent = Resources::ZERO;
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
         for candidate in candidates {
--- /dev/null
+++ b/components/cell/tests/load_patterns.rs
@@ -0,0 +1,253 @@
+//! The load patterns that the decisions answer, replayed in virtual time.
+
+mod world;
+
+use cell::{
+    Action, ActiveRun, AdvicePolicy, Cell, CellSettings, Final, JobRecord, Look, Policy, StepSpec,
+    WorkerReport,
+};
+use types::{Millis, Resources};
+use world::{Faults, Worker, World, job, policy, task};
+
+const NEVER: Millis = Millis(u64::MAX);
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu_milli: count * 1_000, mem_mb: 100, accels: 0 }
+}
+
+fn step(tasks: u32, need: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec { tasks, need: cores(need), estimate_ms: Millis(estimate_ms), ..StepSpec::default() }
+}
+
+fn fleet(count: u32) -> Vec<Worker> {
+    (0..count).map(|number| Worker::new(&format!("w{number}"), 16_000)).collect()
+}
+
+fn calm(workers: Vec<Worker>, rules: Policy) -> World {
+    World::new(1, rules, workers, Faults::default(), NEVER)
+}
+
+fn at(mut record: JobRecord, at_ms: u64) -> (Millis, JobRecord) {
+    record.accepted_unix_ms += at_ms;
+    (Millis(at_ms), record)
+}
+
+fn took(world: &World, id: &str, since_ms: u64) -> u64 {
+    let id = id.parse().expect("job id");
+    world.checks.ended_ms.get(&id).map_or(u64::MAX, |ended| ended.0 - since_ms)
+}
+
+/// A fleet full of long tasks, then a burst of quick jobs. Returns the slowest quick job and the
+/// slowest long one.
+fn burst_on_a_full_fleet(checkpoints: bool) -> (u64, u64) {
+    let mut rules = policy();
+    if let Some(batch) = rules.queues.get_mut(&"batch".parse().expect("queue")) {
+        // As on the sites.
+        batch.target_factor = 2.2;
+    }
+    let mut world = calm(fleet(4), rules);
+    for number in 0..16 {
+        let long = StepSpec { checkpoints, ..step(1, 4, 8_000) };
+        let id = format!("{number:016x}");
+        let (when, record) = at(job(&id, "batch", "large", vec![long]), 100);
+        world.submit_at(when, record);
+    }
+    for number in 100..108 {
+        let id = format!("{number:016x}");
+        let (when, record) = at(job(&id, "quick", "large", vec![step(2, 2, 500)]), 2_000);
+        world.submit_at(when, record);
+    }
+    world.run_until(Millis(40_000));
+    assert!(world.checks.broken.is_empty(), "{:?}", world.checks.broken);
+    let slowest = |from: u64, to: u64, since: u64| {
+        (from..to).map(|number| took(&world, &format!("{number:016x}"), since)).max().unwrap_or(0)
+    };
+    (slowest(100, 108, 2_000), slowest(0, 16, 100))
+}
+
+#[test]
+fn long_tasks_that_save_their_progress_make_room_for_a_burst_of_quick_jobs() {
+    let (quick_before, _) = burst_on_a_full_fleet(false);
+    let (quick, long) = burst_on_a_full_fleet(true);
+    // Without room the burst waits for the long tasks; three objectives are 3 s.
+    assert!(quick_before > 5_000, "{quick_before}");
+    assert!(quick < 3_000, "{quick}");
+    assert!(long < 30_000, "{long}");
+}
+
+#[test]
+fn the_excess_of_one_team_does_not_delay_the_others() {
+    let mut rules = policy();
+    for team in rules.teams.values_mut() {
+        team.weight = 2.0;
+        team.limit = Resources::ZERO;
+    }
+    let mut world = calm(fleet(2), rules);
+    for number in 0..240u64 {
+        let id = format!("{number:016x}");
+        let (when, record) =
+            at(job(&id, "quick", "large", vec![step(2, 4, 800)]), 200 + number * 25);
+        world.submit_at(when, record);
+    }
+    for number in 1_000..1_010u64 {
+        let id = format!("{number:016x}");
+        let when_ms = 1_000 + (number - 1_000) * 500;
+        let (when, record) = at(job(&id, "quick", "small", vec![step(2, 4, 800)]), when_ms);
+        world.submit_at(when, record);
+    }
+    world.run_until(Millis(90_000));
+    let worst = (1_000..1_010u64)
+        .map(|number| took(&world, &format!("{number:016x}"), 1_000 + (number - 1_000) * 500))
+        .max()
+        .unwrap_or(u64::MAX);
+    // 40 jobs a second on room for 10: alone in line, a job of the excess waits far longer.
+    assert!(worst < 3_000, "{worst}");
+}
+
+#[test]
+fn a_worker_that_fails_everything_costs_few_attempts_and_no_job() {
+    let mut workers = fleet(5);
+    workers[0].broken = true;
+    let mut world = calm(workers, policy());
+    for number in 0..80u64 {
+        let id = format!("{number:016x}");
+        let (when, record) =
+            at(job(&id, "quick", "large", vec![step(3, 2, 400)]), 200 + number * 60);
+        world.submit_at(when, record);
+    }
+    world.run_until(Millis(30_000));
+    let failed = world.checks.stored_ends.values().filter(|end| **end == Final::Failed).count();
+    let attempts: u32 = world.checks.failed_on.values().sum();
+    assert_eq!(failed, 0);
+    assert!(attempts < 60, "{attempts} of 240 attempts were lost");
+}
+
+#[test]
+fn tasks_on_a_worker_that_stands_still_run_elsewhere() {
+    let mut workers = fleet(3);
+    workers[1].hangs = true;
+    let mut world = calm(workers, policy());
+    for number in 0..12u64 {
+        let id = format!("{number:016x}");
+        let (when, record) =
+            at(job(&id, "quick", "large", vec![step(2, 2, 600)]), 200 + number * 50);
+        world.submit_at(when, record);
+    }
+    world.run_until(Millis(30_000));
+    let worst = (0..12u64)
+        .map(|number| took(&world, &format!("{number:016x}"), 200 + number * 50))
+        .max()
+        .unwrap_or(u64::MAX);
+    assert!(worst < 8_000, "{worst}");
+}
+
+fn report(name: &str) -> WorkerReport {
+    WorkerReport {
+        id: name.parse().expect("worker id"),
+        born_unix_ms: 5,
+        address: "127.0.0.1:1".parse().expect("address"),
+        service: "service".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: cores(16),
+        draining: false,
+        leaves_in_ms: None,
+    }
+}
+
+fn cell_with(workers: u32, rules: Policy) -> Cell {
+    let settings = CellSettings {
+        lease_ms: Millis(4_500),
+        max_lease_ms: Millis(6_000),
+        keep_ended_ms: Millis(120_000),
+        look_wait_ms: Millis(0),
+    };
+    let mut cell = Cell::new(settings, 1, 1_700_000_000_000);
+    cell.set_policy(rules.into());
+    for number in 0..workers {
+        let name = format!("w{number}");
+        cell.worker_listed(report(&name), Millis(1));
+        cell.look_answered(
+            &name.parse().expect("worker id"),
+            Millis(1),
+            &shows(Vec::new()),
+            Millis(2),
+        );
+    }
+    cell.tick(Millis(3));
+    cell
+}
+
+fn shows(active: Vec<ActiveRun>) -> Look {
+    Look { born_unix_ms: 5, clock_ms: Millis(500), active, ended: Vec::new(), more_ended: false }
+}
+
+fn asked(actions: &[Action]) -> Vec<String> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Ask { step, .. } => Some(step.job.to_string()),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn long_calls_for_advice_do_not_hold_up_short_ones() {
+    let mut rules = policy();
+    let slow = AdvicePolicy { call_ms: 400.0, per_worker_ms: 5.7, valid_ms: Millis(2_500) };
+    if let Some(batch) = rules.queues.get_mut(&"batch".parse().expect("queue")) {
+        batch.advice = Some(slow);
+    }
+    let mut cell = cell_with(12, rules);
+    cell.set_callers(&["one".into(), "two".into(), "three".into()]);
+    for number in 0..20 {
+        let id = format!("{number:016x}");
+        cell.submitted(job(&id, "batch", "large", vec![step(2, 2, 6_000)]), Millis(10));
+    }
+    cell.schedule(Millis(10));
+    let long = asked(&cell.take_actions());
+    cell.submitted(job("00000000000000ff", "quick", "large", vec![step(2, 2, 500)]), Millis(20));
+    cell.schedule(Millis(20));
+    let short = asked(&cell.take_actions());
+    // One machine of three is kept for short calls.
+    assert_eq!(long.len(), 2, "{long:?}");
+    assert_eq!(short, vec!["00000000000000ff".to_owned()]);
+}
+
+/// Latency tails of a serving task, a look each; returns the paces ordered for the filling task.
+fn paces(tails_ms: &[u64]) -> Vec<u32> {
+    let serving =
+        StepSpec { lasting: true, latency_target_ms: Some(Millis(100)), ..step(1, 4, 500) };
+    let filling = StepSpec { scavenges: true, lasting: true, ..step(1, 4, 500) };
+    let mut cell = cell_with(1, policy());
+    let record = job("00000000000000aa", "watch", "large", vec![serving, filling]);
+    cell.submitted(record, Millis(5));
+    let worker = "w0".parse().expect("worker id");
+    let mut ordered = Vec::new();
+    for (number, tail) in (1u64..).zip(tails_ms) {
+        let row = |step, gauge| ActiveRun {
+            task: task("00000000000000aa", step, 0),
+            attempt: 1,
+            checkpoint: Default::default(),
+            percent: 100,
+            gauge,
+        };
+        let now = Millis(100 + number * 500);
+        cell.look_answered(&worker, now, &shows(vec![row(0, *tail), row(1, 0)]), now);
+        cell.balance(&worker, now);
+        for action in cell.take_actions() {
+            if let Action::Pace(order) = action {
+                ordered.push(order.percent);
+            }
+        }
+    }
+    ordered
+}
+
+#[test]
+fn filling_tasks_stop_when_a_serving_task_is_over_its_target_and_come_back_in_steps() {
+    assert_eq!(paces(&[50, 55, 40]), Vec::<u32>::new());
+    assert_eq!(paces(&[95]), vec![50]);
+    assert_eq!(paces(&[130, 80, 50, 50]), vec![0, 20, 40]);
+}
--- a/components/cell/tests/world/checks.rs
+++ b/components/cell/tests/world/checks.rs
@@ -31,6 +31,10 @@
     gangs_done: BTreeSet<(StepKey, u32)>,
     history: BTreeMap<TaskKey, Vec<String>>,
     pub stored_ends: BTreeMap<JobId, Final>,
+    /// When the end of a job was stored.
+    pub ended_ms: BTreeMap<JobId, Millis>,
+    /// Failed runs by worker.
+    pub failed_on: BTreeMap<WorkerId, u32>,
     /// Rules that were broken.
     pub broken: Vec<String>,
     pub starts: u64,
@@ -49,6 +53,8 @@
             gangs_done: BTreeSet::new(),
             history: BTreeMap::new(),
             stored_ends: BTreeMap::new(),
+            ended_ms: BTreeMap::new(),
+            failed_on: BTreeMap::new(),
             broken: Vec::new(),
             starts: 0,
             alone: 0,
@@ -198,6 +204,9 @@
     ) {
         self.note(key, format!("{now} ended {ending:?} {attempt} on {worker}"));
         self.gone(worker, key);
+        if ending == Ending::Failed {
+            *self.failed_on.entry(worker.clone()).or_default() += 1;
+        }
         let seen = self.tasks.entry(key.clone()).or_default();
         match ending {
             Ending::Done => seen.done = true,
@@ -237,6 +246,7 @@
         let Some(end) = progress.ended else { return };
         let record = self.jobs[&progress.id].clone();
         self.stored_ends.insert(progress.id.clone(), end);
+        self.ended_ms.entry(progress.id.clone()).or_insert(now);
         let tasks = |test: &dyn Fn(&TaskSeen) -> bool, any: bool| {
             let mut keys = (0u16..).zip(&record.spec.steps).flat_map(|(step, spec)| {
                 let id = record.id.clone();
