Ends are acknowledged job by job, and ended jobs are stored first

Ruled out: processor time (the same with --no-cpu). Change: each worker's processed ends are kept with their jobs until that job is stored. Test: components/cell/tests/batches.rs.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -170,8 +170,8 @@
 pub struct Batch {
     /// Progress of changed jobs.
     pub records: Vec<Progress>,
-    /// Ends that are covered by all changes up to this batch.
-    pub acks: Vec<(WorkerId, u64, u64)>,
+    /// Ends of runs that the records hold: worker, its life and the number of the end.
+    pub ends: Vec<(WorkerId, u64, u64)>,
 }
 
 /// All jobs and workers under one leader.
@@ -446,38 +446,29 @@
         if self.batch_out {
             return None;
         }
-        let ids: Vec<JobId> = self.dirty.iter().take(limit).cloned().collect();
+        let ids = self.next_to_store(limit);
+        if ids.is_empty() {
+            return None;
+        }
         for id in &ids {
             self.dirty.remove(id);
         }
         let records: Vec<Progress> =
             ids.iter().filter_map(|id| self.jobs.get(id)).map(Job::progress).collect();
-        let acks: Vec<(WorkerId, u64, u64)> = if self.dirty.is_empty() {
-            self.workers
-                .iter()
-                .filter(|(_, worker)| worker.processed > worker.acked)
-                .map(|(id, worker)| (id.clone(), worker.life_unix_ms, worker.processed))
-                .collect()
-        } else {
-            Vec::new()
-        };
-        if records.is_empty() {
-            // Ends that change no job need no store.
-            self.settle_acks(&acks);
-            return None;
+        let mut ends = Vec::new();
+        for (id, worker) in &self.workers {
+            let covered = worker.unstored.iter().filter(|(_, job)| ids.contains(job));
+            ends.extend(covered.map(|(number, _)| (id.clone(), worker.life_unix_ms, *number)));
         }
         self.batch_out = true;
-        Some(Batch { records, acks })
+        Some(Batch { records, ends })
     }
 
-    fn settle_acks(&mut self, acks: &[(WorkerId, u64, u64)]) {
-        for (id, life, number) in acks {
-            if let Some(worker) = self.workers.get_mut(id)
-                && worker.life_unix_ms == *life
-            {
-                worker.acked = worker.acked.max(*number);
-            }
-        }
+    /// Changed jobs, those that have ended first: their callers wait for the end.
+    fn next_to_store(&self, limit: usize) -> BTreeSet<JobId> {
+        let ended = |id: &&JobId| self.jobs.get(*id).is_some_and(|job| job.ended.is_some());
+        let (first, then): (Vec<&JobId>, Vec<&JobId>) = self.dirty.iter().partition(ended);
+        first.into_iter().chain(then).take(limit).cloned().collect()
     }
 
     /// The batch is stored.
@@ -493,7 +484,13 @@
                     "end" => format!("{:?}", record.ended));
             }
         }
-        self.settle_acks(&batch.acks);
+        for (id, life, number) in &batch.ends {
+            if let Some(worker) = self.workers.get_mut(id)
+                && worker.life_unix_ms == *life
+            {
+                worker.unstored.remove(number);
+            }
+        }
     }
 
     /// The batch was not stored, or maybe not.
@@ -727,7 +724,7 @@
         }
         let fence = worker.fence(self.epoch);
         let address = worker.report.address;
-        Some(LookOrder { address, fence, deadline_ms, ack: worker.acked, wait_ms })
+        Some(LookOrder { address, fence, deadline_ms, ack: worker.stored_ends(), wait_ms })
     }
 
     /// Whether a fence is the one in force for a worker, so that a higher one is another leader's.
@@ -737,7 +734,7 @@
 
     /// Whether ends of this worker wait to be stored.
     pub fn has_unstored_ends(&self, id: &WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|worker| worker.processed > worker.acked)
+        self.workers.get(id).is_some_and(|worker| !worker.unstored.is_empty())
     }
 
     /// A number for the next run of a task, above all earlier ones.
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -34,6 +34,11 @@
             "ran_ms" => run.as_ref().map(|run| now.since(run.began_ms).0));
         self.judge_worker(id, end, run.as_ref().map(|run| now.since(run.began_ms)), now);
         self.settle_task(id, end, now);
+        if self.dirty.contains(&end.task.step.job)
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.unstored.insert(end.number, end.task.step.job.clone());
+        }
     }
 
     /// Notes what the end says about the worker.
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use libs::compact_str::CompactString;
-use types::{Millis, RackId, Resources, TeamId, WorkerId};
+use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
 
 use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
 
@@ -103,9 +103,10 @@
     pub(crate) unknown_until_ms: Millis,
     pub(crate) used: Resources,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
-    /// Highest end processed and highest end that is stored.
+    /// Highest end processed.
     pub(crate) processed: u64,
-    pub(crate) acked: u64,
+    /// Processed ends that are not stored yet, with their jobs.
+    pub(crate) unstored: BTreeMap<u64, JobId>,
     pub(crate) health: crate::health::Health,
 }
 
@@ -127,7 +128,7 @@
             used: Resources::ZERO,
             runs: BTreeMap::new(),
             processed: 0,
-            acked: 0,
+            unstored: BTreeMap::new(),
             health: crate::health::Health::default(),
         }
     }
@@ -160,7 +161,7 @@
         self.life_unix_ms = born_unix_ms;
         self.lives += 1;
         self.processed = 0;
-        self.acked = 0;
+        self.unstored.clear();
         self.clock_ms = Millis(0);
         self.heard_ms = Millis(0);
         self.lease_ms = Millis(0);
@@ -169,6 +170,11 @@
         self.health = crate::health::Health::default();
     }
 
+    /// Ends up to this number are stored, or need not be.
+    pub(crate) fn stored_ends(&self) -> u64 {
+        self.unstored.keys().next().map_or(self.processed, |first| first - 1)
+    }
+
     /// Runs of a step on this worker.
     pub(crate) fn runs_of(&self, step: &StepKey) -> usize {
         let first = TaskKey { step: step.clone(), index: 0 };
--- a/components/cell/tests/batches.rs
+++ b/components/cell/tests/batches.rs
@@ -108,3 +108,23 @@
     let again = next.take_batch(10).expect("a change to store").records[0].clone();
     assert_eq!(again.occurrences[0].1[0].failures, vec![(0, vec![1])]);
 }
+
+#[test]
+fn ends_are_acknowledged_job_by_job_and_ended_jobs_are_stored_first() {
+    let mut cell = cell_with_job(2);
+    let step = StepSpec { tasks: 1, estimate_ms: Millis(100), ..StepSpec::default() };
+    cell.submitted(job("00000000000000bb", "batch", "large", vec![step]), NOW);
+    cell.worker_listed(worker("w0"), NOW);
+    let last = EndedRun { task: task("00000000000000bb", 0, 0), ..ended(2, 0, 1, Ending::Done) };
+    let shown = look(vec![ended(1, 0, 1, Ending::Done), last]);
+    cell.look_answered(&id("w0"), NOW, &shown, NOW);
+    let ack = |cell: &mut Cell| cell.look_order(&id("w0"), false, NOW).expect("known").ack;
+    let first = cell.take_batch(1).expect("a change to store");
+    assert_eq!(first.records[0].id.as_str(), "00000000000000bb");
+    cell.batch_stored(&first);
+    // The end before it belongs to a job that is not stored yet.
+    assert_eq!(ack(&mut cell), 0);
+    let second = cell.take_batch(1).expect("a change to store");
+    cell.batch_stored(&second);
+    assert_eq!(ack(&mut cell), 2);
+}
