--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -180,10 +180,19 @@
     policy.call_ms + policy.per_worker_ms * workers as f64
 }
 
+/// A call in progress.
+#[derive(Debug)]
+struct Call {
+    number: u64,
+    /// Time that it takes at the advisor.
+    takes_ms: f64,
+    sent_ms: Millis,
+}
+
 /// The machines that can call the advisor, with their work in progress.
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
-    machines: BTreeMap<CompactString, Vec<(u64, f64, Millis)>>,
+    machines: BTreeMap<CompactString, Vec<Call>>,
     next_call: u64,
 }
 
@@ -201,12 +210,12 @@
     /// A third of the machines, at least one, takes only short calls.
     pub(crate) fn reserve(&mut self, takes_ms: f64, now: Millis) -> Option<(CompactString, u64)> {
         for calls in self.machines.values_mut() {
-            calls.retain(|(_, _, since)| now.since(*since) < LOST_CALL_MS);
+            calls.retain(|call| now.since(call.sent_ms) < LOST_CALL_MS);
         }
         let name = self.least_busy(takes_ms, now)?.clone();
         let calls = self.machines.get_mut(&name)?;
         self.next_call += 1;
-        calls.push((self.next_call, takes_ms, now));
+        calls.push(Call { number: self.next_call, takes_ms, sent_ms: now });
         Some((name, self.next_call))
     }
 
@@ -232,12 +241,12 @@
     /// A call has ended.
     pub(crate) fn release(&mut self, call: u64) {
         for calls in self.machines.values_mut() {
-            calls.retain(|(id, ..)| *id != call);
+            calls.retain(|one| one.number != call);
         }
     }
 }
 
 /// Work in progress of a machine.
-fn backlog_ms(calls: &[(u64, f64, Millis)], now: Millis) -> f64 {
-    calls.iter().map(|(_, takes, since)| (takes - now.since(*since).0 as f64).max(1.0)).sum()
+fn backlog_ms(calls: &[Call], now: Millis) -> f64 {
+    calls.iter().map(|call| (call.takes_ms - now.since(call.sent_ms).0 as f64).max(1.0)).sum()
 }
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -3,10 +3,11 @@
 use eventlog::event;
 use types::{Millis, WorkerId};
 
-use crate::cell::{Cell, remove_use};
+use crate::cell::Cell;
 use crate::job::Phase;
 use crate::looks::{EndedRun, Ending};
 use crate::model::Final;
+use crate::runs::remove_use;
 
 /// Pause before a failed task is tried again.
 const FAILED_RETRY_MS: Millis = Millis(20);
--- /dev/null
+++ b/components/cell/src/listing.rs
@@ -0,0 +1,86 @@
+//! The list of workers, as far as it changes what the cell believes.
+
+use eventlog::event;
+use types::{Millis, WorkerId};
+
+use crate::action::Action;
+use crate::cell::Cell;
+use crate::worker::{Worker, WorkerReport};
+
+/// A former leader renews no leases once its own is over; this is for calls on their way.
+const FORMER_LEADER_MS: Millis = Millis(200);
+/// Time to reach a worker that a former leader used and that is not listed.
+const UNLISTED_MS: Millis = Millis(1_000);
+/// An unlisted worker without runs is forgotten after this time.
+const FORGET_WORKER_MS: Millis = Millis(20_000);
+
+impl Cell {
+    /// A worker's entry in the list of workers was read.
+    pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
+        self.changed = true;
+        match self.workers.get_mut(&report.id) {
+            Some(worker) => {
+                if worker.report.draining != report.draining || !worker.listed {
+                    event!("worker.changed", "worker" => report.id.as_str(),
+                        "draining" => report.draining, "was_listed" => worker.listed);
+                }
+                worker.listed = true;
+                let reborn = report.born_unix_ms > worker.life_unix_ms;
+                worker.report = report;
+                if reborn {
+                    // Only the new life can tell which orders have come to it.
+                    self.actions.push(Action::Look(worker.report.id.clone()));
+                }
+            }
+            None => {
+                event!("worker.found", "worker" => report.id.as_str(),
+                    "address" => report.address.to_string(), "capacity" => report.capacity.to_string());
+                let mut worker = Worker::new(report, now);
+                if self.recovering {
+                    worker.unknown_until_ms = now + self.former_lease_ms();
+                }
+                self.workers.insert(worker.report.id.clone(), worker);
+            }
+        }
+    }
+
+    /// A former leader used this worker. Does nothing if it is listed.
+    ///
+    /// A worker that is not listed has been silent for the store for some seconds. If it cannot
+    /// be reached from here either, its leases are all but over.
+    pub fn worker_of_former_leader(&mut self, report: WorkerReport, now: Millis) {
+        if self.workers.contains_key(&report.id) {
+            return;
+        }
+        event!("worker.of_former_leader", "worker" => report.id.as_str());
+        let mut worker = Worker::new(report, now);
+        worker.listed = false;
+        worker.unknown_until_ms = now + UNLISTED_MS;
+        self.workers.insert(worker.report.id.clone(), worker);
+    }
+
+    fn former_lease_ms(&self) -> Millis {
+        let lease = self.settings.lease_ms;
+        lease + Millis(lease.0 * 3 / 100) + FORMER_LEADER_MS
+    }
+
+    /// A worker is no longer in the list of workers.
+    pub fn worker_unlisted(&mut self, id: &WorkerId, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.listed {
+            event!("worker.unlisted", "worker" => id.as_str(), "runs" => worker.runs.len());
+            worker.listed = false;
+            worker.unlisted_ms = now;
+        }
+    }
+
+    /// Forgets unlisted workers that can run nothing of ours any more.
+    pub(crate) fn forget_workers(&mut self, now: Millis) {
+        self.workers.retain(|_, worker| {
+            worker.listed
+                || !worker.runs.is_empty()
+                || now < worker.lease_over_ms()
+                || now.since(worker.unlisted_ms) < FORGET_WORKER_MS
+        });
+    }
+}
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -4,9 +4,10 @@
 use libs::compact_str::CompactString;
 use types::{Millis, Resources, WorkerId};
 
-use crate::cell::{Cell, add_use, new_run};
+use crate::cell::Cell;
 use crate::job::Phase;
 use crate::model::TaskKey;
+use crate::runs::{add_use, new_run};
 use crate::worker::{RunState, Worker};
 
 /// Period of the log lines on workers that are waited for.
--- /dev/null
+++ b/components/cell/src/runs.rs
@@ -0,0 +1,250 @@
+//! Runs of tasks on workers: orders to start and stop them, and the answers.
+
+use std::collections::BTreeMap;
+
+use eventlog::event;
+use libs::compact_str::CompactString;
+use types::{Millis, Resources, TeamId, WorkerId};
+
+use crate::action::{Action, LookOrder, Refusal, StartAnswer, StartOrder, StopOrder};
+use crate::cell::Cell;
+use crate::job::Phase;
+use crate::model::{StepSpec, TaskKey};
+use crate::worker::{Run, RunState};
+
+/// Latest time of a start, from when it is sent. An order that is carried out later is refused.
+const START_DEADLINE_MS: Millis = Millis(2_500);
+/// Pause before a task is tried again after a refusal that is not its fault.
+const RETRY_MS: Millis = Millis(100);
+/// Runs of one task in one epoch.
+const ATTEMPTS_PER_EPOCH: u32 = 1_000;
+
+impl Cell {
+    /// Puts a run on a worker and orders its start.
+    pub(crate) fn start_run(
+        &mut self,
+        worker_id: &WorkerId,
+        key: TaskKey,
+        spec: &StepSpec,
+        attempt: u32,
+        ticket: Option<CompactString>,
+        now: Millis,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let record = job.record.clone();
+        job.started = true;
+        let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
+        step.set_phase(key.index, Phase::Placed(worker_id.clone()));
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+        task.attempt = attempt;
+        let checkpoint = task.checkpoint.clone();
+        let deadline_ms = worker.clock_now(now) + START_DEADLINE_MS;
+        worker.lease_ms = worker.lease_ms.max(deadline_ms);
+        let run = new_run(spec, record.team.clone(), attempt, RunState::Starting, now);
+        event!("task.start", "task" => key.to_string(), "attempt" => attempt,
+            "worker" => worker_id.as_str(), "epoch" => self.epoch,
+            "free" => worker.free().to_string(), "heard_ms_ago" => now.since(worker.heard_ms).0);
+        add_use(&mut self.used_by_team, &run);
+        worker.add_run(key.clone(), run);
+        self.actions.push(Action::Start(Box::new(StartOrder {
+            worker: worker_id.clone(),
+            address: worker.report.address,
+            task: key,
+            attempt,
+            fence: worker.fence(self.epoch),
+            record,
+            checkpoint,
+            ticket,
+            deadline_ms,
+        })));
+    }
+
+    /// Takes a run off a worker, and lets its task run again if this was its last run.
+    pub(crate) fn free_run(
+        &mut self,
+        worker_id: &WorkerId,
+        key: &TaskKey,
+        delay_ms: Millis,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some(run) = worker.remove_run(key) else { return };
+        remove_use(&mut self.used_by_team, &run);
+        self.changed = true;
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+        if task.phase == Phase::Placed(worker_id.clone()) && task.attempt == run.attempt {
+            task.not_before_ms = now + delay_ms;
+            step.set_phase(key.index, Phase::Waiting);
+        }
+    }
+
+    /// Orders a run to stop, unless that was done.
+    pub(crate) fn stop_run(&mut self, worker_id: &WorkerId, key: &TaskKey, why: &str, now: Millis) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let address = worker.report.address;
+        let fence = worker.fence(self.epoch);
+        let Some(run) = worker.runs.get_mut(key) else { return };
+        if matches!(run.state, RunState::Stopping | RunState::Stopped) {
+            return;
+        }
+        event!("task.stop", "task" => key.to_string(), "attempt" => run.attempt,
+            "worker" => worker_id.as_str(), "why" => why);
+        run.state = RunState::Stopping;
+        run.since_ms = now;
+        run.stop_sent_ms = now;
+        let order = StopOrder {
+            worker: worker_id.clone(),
+            address,
+            task: key.clone(),
+            attempt: run.attempt,
+            fence,
+        };
+        self.actions.push(Action::Stop(order));
+    }
+
+    /// The answer to a start came, or did not.
+    pub fn start_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        key: &TaskKey,
+        attempt: u32,
+        fence: u64,
+        answer: StartAnswer,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some(run) = worker.runs.get_mut(key) else { return };
+        if run.attempt != attempt || run.state != RunState::Starting {
+            return;
+        }
+        if answer != StartAnswer::Started {
+            event!("task.start_failed", "task" => key.to_string(), "attempt" => attempt,
+                "worker" => worker_id.as_str(), "answer" => format!("{answer:?}"));
+        }
+        match answer {
+            StartAnswer::Started => {
+                run.state = RunState::Running;
+                run.since_ms = now;
+                return;
+            }
+            StartAnswer::Unanswered => {
+                // The next look tells whether it runs; if not, it is stopped before another try.
+                worker.health.suspect(now);
+                run.since_ms = now;
+                run.missing = 1;
+                self.actions.push(Action::Look(worker_id.clone()));
+                return;
+            }
+            StartAnswer::NotSent => {
+                worker.reachable = false;
+                worker.health.suspect(now);
+            }
+            // An order to a former life of the worker is refused by the next one, too.
+            StartAnswer::Refused(Refusal::Fenced) if fence < worker.fence(self.epoch) => {}
+            StartAnswer::Refused(Refusal::Fenced) => self.actions.push(Action::Deposed),
+            StartAnswer::Refused(Refusal::Unhealthy) => worker.health.suspect(now),
+            StartAnswer::Refused(Refusal::NoRoom) => {
+                self.actions.push(Action::Look(worker_id.clone()));
+            }
+            StartAnswer::Refused(Refusal::Ticket) => {
+                if let Some(step) = self
+                    .jobs
+                    .get_mut(&key.step.job)
+                    .and_then(|job| job.step_mut(key.step.occurrence, key.step.step))
+                {
+                    step.advice.drop_ticket(worker_id);
+                }
+            }
+            StartAnswer::Refused(Refusal::OtherLife) => {
+                worker.attached = false;
+                self.actions.push(Action::Look(worker_id.clone()));
+            }
+            StartAnswer::Refused(Refusal::OldAttempt | Refusal::Late | Refusal::Malformed) => {}
+        }
+        self.free_run(worker_id, key, RETRY_MS, now);
+    }
+
+    /// The answer to a stop came, or did not.
+    pub fn stop_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        key: &TaskKey,
+        attempt: u32,
+        confirmed: bool,
+        now: Millis,
+    ) {
+        let Some(run) = self.workers.get_mut(worker_id).and_then(|worker| worker.runs.get_mut(key))
+        else {
+            return;
+        };
+        if confirmed && run.attempt == attempt && run.state == RunState::Stopping {
+            run.state = RunState::Stopped;
+            run.since_ms = now;
+            self.actions.push(Action::Look(worker_id.clone()));
+        }
+    }
+
+    /// The next look at a worker; none if it is unknown.
+    pub fn look_order(&mut self, id: &WorkerId, wait: bool, now: Millis) -> Option<LookOrder> {
+        let lease = self.settings.lease_ms;
+        let wait_ms = if wait { self.settings.look_wait_ms } else { Millis(0) };
+        let worker = self.workers.get_mut(id)?;
+        // The leases of a worker that does not answer must run out, so that its tasks can start
+        // elsewhere; another leader must be able to count on the end of our leases.
+        let renews = self.may_start && worker.reachable && worker.heard_ms > Millis(0);
+        let deadline_ms = renews.then(|| worker.clock_now(now) + lease);
+        if let Some(deadline) = deadline_ms {
+            worker.lease_ms = worker.lease_ms.max(deadline);
+        }
+        let fence = worker.fence(self.epoch);
+        let address = worker.report.address;
+        Some(LookOrder { address, fence, deadline_ms, ack: worker.stored_ends(), wait_ms })
+    }
+
+    /// A number for the next run of a task, above all earlier ones.
+    pub(crate) fn next_attempt(epoch: u64, last: u32) -> u32 {
+        let first = u32::try_from(epoch.saturating_sub(1)).unwrap_or(0) * ATTEMPTS_PER_EPOCH + 1;
+        first.max(last + 1)
+    }
+}
+
+/// A run that starts now.
+pub(crate) fn new_run(
+    spec: &StepSpec,
+    team: Option<TeamId>,
+    attempt: u32,
+    state: RunState,
+    now: Millis,
+) -> Run {
+    Run {
+        attempt,
+        state,
+        charge: spec.charge(),
+        need: spec.need,
+        team,
+        since_ms: now,
+        began_ms: now,
+        stop_sent_ms: Millis(0),
+        percent: 0,
+        percent_ms: now,
+        pace: 100,
+        gauge: 0,
+        missing: 0,
+    }
+}
+
+pub(crate) fn add_use(used: &mut BTreeMap<TeamId, Resources>, run: &Run) {
+    if let Some(team) = &run.team {
+        let sum = used.entry(team.clone()).or_default();
+        *sum = sum.plus(&run.need);
+    }
+}
+
+pub(crate) fn remove_use(used: &mut BTreeMap<TeamId, Resources>, run: &Run) {
+    if let Some(sum) = run.team.as_ref().and_then(|team| used.get_mut(team)) {
+        *sum = sum.minus(&run.need);
+    }
+}
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -6,8 +6,9 @@
 use libs::compact_str::CompactString;
 use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
 
+use crate::action::Action;
 use crate::advice::{AskCandidate, call_ms};
-use crate::cell::{Action, Cell};
+use crate::cell::Cell;
 use crate::fit;
 use crate::job::{Job, Phase};
 use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
--- a/components/cell/src/watch.rs
+++ b/components/cell/src/watch.rs
@@ -4,7 +4,8 @@
 use eventlog::event;
 use types::{Millis, WorkerId};
 
-use crate::cell::{Action, Cell, PaceOrder, StopOrder};
+use crate::action::{Action, PaceOrder, StopOrder};
+use crate::cell::Cell;
 use crate::model::TaskKey;
 use crate::worker::RunState;
 
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -2,10 +2,9 @@
 
 use std::cell::{Cell as StdCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-use cell::{Cell, JobRecord, Progress, WorkerReport};
+use cell::{Cell, JobRecord, Progress, RosterRow, WorkerReport};
 use clock::CancellationToken;
 use eventlog::event;
 use libs::tokio;
@@ -118,9 +117,9 @@
     }
 
     /// Ends the term and lets another process take the lead at once.
-    pub(crate) async fn step_down(&self, why: &str, store_first: bool) {
+    pub(crate) async fn step_down(&self, why: &str) {
         let Some(leader) = self.leading.borrow().clone() else { return };
-        if store_first && leader.loaded.get() {
+        if leader.loaded.get() {
             leader.cell.borrow_mut().set_may_start(false);
             self.store_changes(&leader).await;
         }
@@ -219,9 +218,9 @@
         for report in workers {
             cell.worker_listed(report, now);
         }
-        let former = roster.as_ref().and_then(read::<Vec<(WorkerId, SocketAddr, u64)>>);
-        for (id, address, life) in former.unwrap_or_default() {
-            cell.worker_of_former_leader(unlisted_report(&id, address, life), now);
+        let former = roster.as_ref().and_then(read::<Vec<RosterRow>>);
+        for row in former.unwrap_or_default() {
+            cell.worker_of_former_leader(unlisted_report(&row), now);
         }
         leader.batch_revision.set(batch.map_or(0, |item| item.revision));
         leader.intake_after.set(intake_after);
@@ -239,7 +238,7 @@
             // The term's tasks end with it, this one among them.
             let node = self.clone();
             tokio::task::spawn_local(async move {
-                node.step_down("a stronger process is there", true).await;
+                node.step_down("a stronger process is there").await;
             });
             return;
         }
@@ -309,11 +308,11 @@
 }
 
 /// Stands for a worker that a former leader used and that is no longer listed.
-fn unlisted_report(id: &WorkerId, address: SocketAddr, life_unix_ms: u64) -> WorkerReport {
+fn unlisted_report(row: &RosterRow) -> WorkerReport {
     WorkerReport {
-        id: id.clone(),
-        born_unix_ms: life_unix_ms,
-        address,
+        id: row.worker.clone(),
+        born_unix_ms: row.life_unix_ms,
+        address: row.address,
         service: Default::default(),
         rack: None,
         labels: Vec::new(),
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -125,7 +125,7 @@
         token.cancelled().await;
         event!("process.stopping", "leads" => self.leads());
         self.stopping.cancel();
-        self.step_down("shutting down", true).await;
+        self.step_down("shutting down").await;
         tokio::time::sleep(READINESS_NOTICED_MS.to_duration()).await;
         callers.cancel();
         tokio::time::sleep(DRAIN_MS.to_duration()).await;
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cell::Batch;
+use cell::{Batch, RosterRow};
 use eventlog::event;
 use libs::tokio;
 use types::Millis;
@@ -132,11 +132,7 @@
         }
     }
 
-    async fn store_roster(
-        &self,
-        leader: &Leader,
-        known: &mut Vec<(types::WorkerId, std::net::SocketAddr, u64)>,
-    ) {
+    async fn store_roster(&self, leader: &Leader, known: &mut Vec<RosterRow>) {
         let roster = leader.cell.borrow().roster(clock::now());
         if roster == *known {
             return;
