--- a/components/cluster/src/front.rs
+++ b/components/cluster/src/front.rs
@@ -4,6 +4,7 @@
 use eventlog::event;
 use serde::{Deserialize, Serialize};
 use types::{JobId, Millis, QueueId};
+use web::CallError;
 
 use crate::codec::encode;
 use crate::comeback::retry_after_s;
@@ -95,7 +96,8 @@
         let Some(peer) = self.peer_with_store() else { return Accepted::NotStored };
         let message = Message::Accept(Box::new(record.clone()));
         match self.send(peer.address, &message, PROXY_TIMEOUT_MS).await {
-            Some(Answer::Accepted(outcome)) => outcome,
+            Ok(Answer::Accepted(outcome)) => outcome,
+            Err(CallError::NotSent) => Accepted::NotStored,
             _ => Accepted::Unknown,
         }
     }
@@ -162,7 +164,7 @@
         let (Some(node), Some(address)) = (self.this.upgrade(), address) else { return };
         // The leader also watches the store, so a lost message only costs time.
         libs::tokio::task::spawn_local(async move {
-            if !matches!(node.send(address, &message, ASK_TIMEOUT_MS).await, Some(Answer::Done)) {
+            if !matches!(node.send(address, &message, ASK_TIMEOUT_MS).await, Ok(Answer::Done)) {
                 node.metrics.count("leader_not_told");
             }
         });
@@ -177,8 +179,8 @@
         if let Some(address) = address {
             let message = Message::Status(id.clone());
             match self.send(address, &message, ASK_TIMEOUT_MS).await {
-                Some(Answer::Status(Some(status))) => return Found::Known(status),
-                Some(Answer::Status(None)) => return Found::Unknown,
+                Ok(Answer::Status(Some(status))) => return Found::Known(status),
+                Ok(Answer::Status(None)) => return Found::Unknown,
                 _ => {}
             }
         }
@@ -234,7 +236,7 @@
     async fn cancel_elsewhere(&self, id: &JobId) -> Cancelled {
         let Some(peer) = self.peer_with_store() else { return Cancelled::Unknown };
         match self.send(peer.address, &Message::Cancel(id.clone()), PROXY_TIMEOUT_MS).await {
-            Some(Answer::Cancelled(outcome)) => outcome,
+            Ok(Answer::Cancelled(outcome)) => outcome,
             _ => Cancelled::Unknown,
         }
     }
@@ -268,7 +270,7 @@
         let now = clock::now();
         let address = self.leader.borrow().as_ref().map(|leader| leader.peer.address)?;
         let message = Message::Pending(queue.clone());
-        if let Some(Answer::Pending(count)) = self.send(address, &message, ASK_TIMEOUT_MS).await {
+        if let Ok(Answer::Pending(count)) = self.send(address, &message, ASK_TIMEOUT_MS).await {
             self.pending_seen.borrow_mut().insert(queue.clone(), (count, now));
             return Some(count);
         }
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -277,7 +277,7 @@
         }
         let message = Message::Hello(self.hello());
         match self.send(leader.peer.address, &message, HELLO_TIMEOUT_MS).await {
-            Some(Answer::Hello(hello)) => {
+            Ok(Answer::Hello(hello)) => {
                 // A leader that has lost the store is replaced, if the store can be reached from here.
                 let leads = hello.leads && hello.lease_held;
                 self.heard(&hello);
@@ -291,7 +291,7 @@
     pub(crate) async fn greet_peers(&self) {
         for peer in self.live_or_known_peers() {
             let message = Message::Hello(self.hello());
-            if let Some(Answer::Hello(hello)) =
+            if let Ok(Answer::Hello(hello)) =
                 self.send(peer.address, &message, HELLO_TIMEOUT_MS).await
             {
                 self.heard(&hello);
--- a/components/cluster/src/orders.rs
+++ b/components/cluster/src/orders.rs
@@ -111,7 +111,7 @@
         let message =
             Message::Advise { step: step.clone(), workers, timeout_ms: ADVICE_TIMEOUT_MS };
         match self.send(address, &message, ADVICE_TIMEOUT_MS).await {
-            Some(Answer::Advice(advice)) => advice,
+            Ok(Answer::Advice(advice)) => advice,
             _ => None,
         }
     }
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -7,7 +7,7 @@
 use libs::compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use types::{JobId, Millis, QueueId, WorkerId};
-use web::{Reply, Request, ServerRequest};
+use web::{CallError, Reply, Request, ServerRequest};
 
 use crate::codec::{decode, encode};
 use crate::front::{Accepted, Cancelled, Found};
@@ -100,19 +100,19 @@
 }
 
 impl Node {
-    /// Sends a message; none if there is no usable answer.
+    /// Sends a message and returns the answer.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         message: &Message,
         timeout_ms: Millis,
-    ) -> Option<Answer> {
-        let secret = self.secret.borrow().clone()?;
+    ) -> Result<Answer, CallError> {
+        let secret = self.secret.borrow().clone().ok_or(CallError::NotSent)?;
         let body = match encode(message) {
             Ok(body) => body,
             Err(error) => {
                 event!("peer.encode_failed", "error" => error.to_string());
-                return None;
+                return Err(CallError::NotSent);
             }
         };
         let request = Request {
@@ -126,16 +126,17 @@
             Ok(response) if response.status == 200 => response,
             Ok(response) => {
                 event!("peer.refused", "address" => address.to_string(), "status" => response.status);
-                return None;
+                // Anything but 200 comes before the message is looked at.
+                return Err(CallError::NotSent);
             }
-            Err(_unreachable) => {
+            Err(error) => {
                 self.metrics.count("peer_calls_failed");
-                return None;
+                return Err(error);
             }
         };
         decode(&response.body)
             .inspect_err(|error| event!("peer.decode_failed", "error" => error.to_string()))
-            .ok()
+            .map_err(|_| CallError::Unanswered)
     }
 
     /// Answers a request of another process.
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -82,7 +82,7 @@
             let age_ms = hello.rules_age_ms;
             tokio::task::spawn_local(async move {
                 let answer = node.send(from, &Message::Rules, RULES_TIMEOUT_MS).await;
-                if let Some(Answer::Rules(raw)) = answer {
+                if let Ok(Answer::Rules(raw)) = answer {
                     node.take_rules(raw);
                     node.confirm_rules(now - age_ms);
                 }
