--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -9,8 +9,8 @@
 
 use crate::action::Action;
 use crate::advice::Callers;
-use crate::job::Job;
-use crate::model::{Final, JobRecord, Policy, Progress, QueuePolicy, StepKey, TaskKey};
+use crate::job::{Job, Step};
+use crate::model::{Final, JobRecord, Policy, Progress, QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::worker::Worker;
 
 /// Fixed figures of a cell.
@@ -105,6 +105,14 @@
         self.changed = true;
     }
 
+    pub(crate) fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.step(key.occurrence, key.step)
+    }
+
+    pub(crate) fn step_mut(&mut self, key: &StepKey) -> Option<&mut Step> {
+        self.jobs.get_mut(&key.job)?.step_mut(key.occurrence, key.step)
+    }
+
     /// Whether new starts may be ordered. Leases, stops and ends go on either way.
     pub fn set_may_start(&mut self, may_start: bool) {
         self.changed |= may_start && !self.may_start;
@@ -201,9 +209,7 @@
     ) {
         self.callers.release(call);
         self.changed = true;
-        let Some(step) =
-            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step_mut(key) else {
             return;
         };
         event!("advice", "step" => key.to_string(), "asked" => asked.len(),
@@ -214,3 +220,8 @@
         }
     }
 }
+
+/// What a job asks for in a step.
+pub(crate) fn spec_of<'a>(jobs: &'a BTreeMap<JobId, Job>, key: &StepKey) -> Option<&'a StepSpec> {
+    jobs.get(&key.job)?.record.spec.steps.get(usize::from(key.step))
+}
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -204,10 +204,7 @@
         if checkpoint.is_empty() {
             return;
         }
-        let step = self
-            .jobs
-            .get_mut(&key.step.job)
-            .and_then(|job| job.step_mut(key.step.occurrence, key.step.step));
+        let step = self.step_mut(&key.step);
         if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize))
             && task.attempt == attempt
         {
--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -42,17 +42,14 @@
         // Steps before this one in the same round wait for room, too.
         self.wanted_by_urgent = self.wanted_by_urgent.plus(&spec.charge().times(tasks as u64));
         let mut missing = self.wanted_by_urgent;
-        let Some(step) =
-            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step_mut(key) else {
             return;
         };
         if now < step.preempt_after_ms || step.advice.known().next().is_none() {
             return;
         }
         step.preempt_after_ms = now + PAUSE_MS;
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step(key) else {
             return;
         };
         let mut victims = Vec::new();
@@ -114,10 +111,7 @@
     }
 
     fn count_preemption(&mut self, key: &TaskKey) {
-        let step = self
-            .jobs
-            .get_mut(&key.step.job)
-            .and_then(|job| job.step_mut(key.step.occurrence, key.step.step));
+        let step = self.step_mut(&key.step);
         if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize)) {
             task.preempted += 1;
         }
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -150,11 +150,7 @@
                 self.actions.push(Action::Look(worker_id.clone()));
             }
             StartAnswer::Refused(Refusal::Ticket) => {
-                if let Some(step) = self
-                    .jobs
-                    .get_mut(&key.step.job)
-                    .and_then(|job| job.step_mut(key.step.occurrence, key.step.step))
-                {
+                if let Some(step) = self.step_mut(&key.step) {
                     step.advice.drop_ticket(worker_id);
                 }
             }
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -109,9 +109,7 @@
         now: Millis,
     ) {
         let highest = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step(key.occurrence, key.step))
+            .step(key)
             .and_then(|step| step.tasks.iter().map(|task| task.attempt).max())
             .unwrap_or(0);
         let shared = Cell::next_attempt(self.epoch, highest);
@@ -120,9 +118,7 @@
         }
         for (index, worker, ticket) in placed {
             let last = self
-                .jobs
-                .get(&key.job)
-                .and_then(|job| job.step(key.occurrence, key.step))
+                .step(key)
                 .and_then(|step| step.tasks.get(index as usize))
                 .map_or(0, |task| task.attempt);
             let attempt = if spec.gang { shared } else { Cell::next_attempt(self.epoch, last) };
@@ -147,9 +143,7 @@
 
     /// All members of a gang go on from the same checkpoint.
     fn share_gang_checkpoint(&mut self, key: &StepKey) {
-        let Some(step) =
-            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step_mut(key) else {
             return;
         };
         let shared = step
@@ -166,8 +160,7 @@
 
     /// A gang of which some members run and others do not is stopped, to start again as a whole.
     fn stop_partial_gang(&mut self, key: &StepKey, now: Millis) {
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step(key) else {
             return;
         };
         let placed: Vec<(TaskKey, WorkerId)> = (0u32..)
@@ -193,8 +186,7 @@
         waiting: &[u32],
         now: Millis,
     ) -> Vec<(u32, WorkerId, Option<CompactString>)> {
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key.occurrence, key.step))
-        else {
+        let Some(step) = self.step(key) else {
             return Vec::new();
         };
         let last_chance = |index: u32| {
@@ -352,11 +344,7 @@
         tasks: usize,
         now: Millis,
     ) {
-        let idle = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step(key.occurrence, key.step))
-            .is_some_and(|step| step.advice.may_ask(now));
+        let idle = self.step(key).is_some_and(|step| step.advice.may_ask(now));
         let shortest_ms = call_ms(&advice, 1);
         if !idle || !self.callers.has_free(shortest_ms, now) || self.team_room(key, spec) == 0 {
             return;
@@ -374,11 +362,7 @@
             })
             .collect();
         usable.sort_by_key(|one| std::cmp::Reverse(one.slots));
-        let Some(step) =
-            self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key.occurrence, key.step))
-        else {
-            return;
-        };
+        let Some(step) = self.step(key) else { return };
         let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(&advice, 8) as u64);
         let lead_ms = lead_ms.min(Millis(advice.valid_ms.0 / 2));
         let workers = step.advice.to_ask(&usable, tasks as u64, lead_ms, now);
@@ -387,8 +371,10 @@
         }
         let takes_ms = call_ms(&advice, workers.len());
         let Some((machine, call)) = self.callers.reserve(takes_ms, now) else { return };
-        step.advice.asking = true;
-        step.advice.calls += 1;
+        if let Some(step) = self.step_mut(key) {
+            step.advice.asking = true;
+            step.advice.calls += 1;
+        }
         event!("advice.ask", "step" => key.to_string(), "workers" => workers.len(),
             "machine" => machine.as_str(), "takes_ms" => takes_ms, "tasks" => tasks);
         self.actions.push(Action::Ask { machine, call, step: key.clone(), workers });
--- a/components/cell/src/watch.rs
+++ b/components/cell/src/watch.rs
@@ -5,7 +5,7 @@
 use types::{Millis, WorkerId};
 
 use crate::action::{Action, PaceOrder, StopOrder};
-use crate::cell::Cell;
+use crate::cell::{Cell, spec_of};
 use crate::model::TaskKey;
 use crate::worker::RunState;
 
@@ -114,19 +114,13 @@
         let fence = worker.fence(self.epoch);
         let mut load_percent = None;
         for (key, run) in &mut worker.runs {
-            let spec = self
-                .jobs
-                .get(&key.step.job)
-                .and_then(|job| job.record.spec.steps.get(usize::from(key.step.step)));
+            let spec = spec_of(&self.jobs, &key.step);
             let Some(target) = spec.and_then(|spec| spec.latency_target_ms) else { continue };
             let percent = run.gauge * 100 / target.0.max(1);
             load_percent = load_percent.max(Some(percent));
         }
         for (key, run) in &mut worker.runs {
-            let spec = self
-                .jobs
-                .get(&key.step.job)
-                .and_then(|job| job.record.spec.steps.get(usize::from(key.step.step)));
+            let spec = spec_of(&self.jobs, &key.step);
             if run.state != RunState::Running || !spec.is_some_and(|spec| spec.scavenges) {
                 continue;
             }
