--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -52,6 +52,15 @@
         let Some(step) = self.step(key) else {
             return;
         };
+        // Workers with room that the advisor has not ruled out come before any stop.
+        let open_room = self.workers.iter().any(|(id, worker)| {
+            !step.advice.is_denied(id)
+                && worker.takes(queue, spec, now)
+                && worker.slots(key, spec) > 0
+        });
+        if open_room {
+            return;
+        }
         let mut victims = Vec::new();
         for id in step.advice.known() {
             let Some(worker) = self.workers.get(id) else { continue };
