testbed: a foreign peer must stay unheard, not only be unheard at one moment

Change: the test waits until the process is unheard and then looks eight heartbeats long; a peer that is listened to is heard within one.

--- a/components/testbed/tests/keys.rs
+++ b/components/testbed/tests/keys.rs
@@ -8,6 +8,9 @@
     TestKey { name: "farmer", secret: "farmers-secret", team: Some("lakeside") };
 const MILLER: TestKey = TestKey { name: "miller", secret: "millers-secret", team: Some("mill") };
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Period of heartbeats between processes, and how many of them a process must stay unheard.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+const HEARTBEATS: u32 = 8;
 
 #[test]
 fn a_withdrawn_key_stops_working_at_every_entry_and_stays_withdrawn() {
@@ -84,8 +87,18 @@
     });
     assert!(taken_over, "{:?}", deployment.admin("status"));
     assert_eq!(deployment.post_request(0, "checks", &FARMER, &[], "x").unwrap().outcome, "ran");
-    let status = deployment.admin("status").unwrap();
-    let processes = status["processes"].as_array().unwrap();
-    let foreigner = processes.iter().find(|process| process["name"] == "scheduler-0").unwrap();
-    assert_eq!(foreigner["alive"], false, "a peer of another authority was listened to");
+    // The process that was killed counts as alive until its heartbeats have been missed for a
+    // while, also when it owned no pool. From then on the one that replaced it must stay unheard.
+    let is_heard = |deployment: &Deployment| {
+        let status = deployment.admin("status").unwrap();
+        let processes = status["processes"].as_array().unwrap();
+        let foreigner = processes.iter().find(|process| process["name"] == "scheduler-0").unwrap();
+        foreigner["alive"] == true
+    };
+    let unheard = deployment.wait_until(PATIENCE, |deployment| !is_heard(deployment));
+    assert!(unheard, "a peer of another authority was listened to");
+    for _ in 0..HEARTBEATS {
+        std::thread::sleep(HEARTBEAT);
+        assert!(!is_heard(&deployment), "a peer of another authority was listened to");
+    }
 }
