eventlog: lines leave in writes of whole lines that a pipe takes at once

Ruled out: the ring (nothing was dropped), the writer's pause. Change: writes of at most 4,096 bytes, whole lines; dropped lines are said in a line (log.dropped), failed writes counted.

--- a/components/eventlog/src/lib.rs
+++ b/components/eventlog/src/lib.rs
@@ -15,8 +15,10 @@
 
 /// Lines that may wait for the writer: some seconds of decisions at the peak.
 const RING_LINES: usize = 8_192;
-/// Pause between two writes, so that lines leave in few system calls.
+/// Pause between two rounds of writes, so that lines leave in few system calls.
 const FLUSH_PERIOD_MS: Millis = Millis(100);
+/// Bytes of one write: `PIPE_BUF` of Linux. Longer writes to a pipe may be split or cut short.
+const CHUNK_BYTES: usize = 4_096;
 
 static RING: OnceLock<Sender<String>> = OnceLock::new();
 static DROPPED: AtomicU64 = AtomicU64::new(0);
@@ -40,15 +42,19 @@
 /// Queues a line: its kind, then the fields.
 pub fn write(kind: &str, fields: &[(&str, Value)]) {
     let Some(ring) = RING.get() else { return };
+    if ring.try_send(line(kind, fields)).is_err() {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn line(kind: &str, fields: &[(&str, Value)]) -> String {
     let mut line = Map::new();
     line.insert("t_unix_ms".to_owned(), unix_ms().into());
     line.insert("event".to_owned(), kind.into());
     for (name, value) in fields {
         line.insert((*name).to_owned(), value.clone());
     }
-    if ring.try_send(Value::Object(line).to_string()).is_err() {
-        DROPPED.fetch_add(1, Ordering::Relaxed);
-    }
+    Value::Object(line).to_string()
 }
 
 /// Waits until the lines written so far are out. For the end of a process.
@@ -67,19 +73,39 @@
 }
 
 fn write_lines(ring: &Receiver<String>) {
+    let mut reported = 0;
     while let Ok(first) = ring.recv() {
-        let mut text = first;
-        text.push('\n');
-        for line in ring.try_iter() {
-            text.push_str(&line);
-            text.push('\n');
+        let mut lines: Vec<String> = std::iter::once(first).chain(ring.try_iter()).collect();
+        let dropped = dropped();
+        if dropped > reported {
+            lines.push(line("log.dropped", &[("lines", (dropped - reported).into())]));
+            reported = dropped;
+        }
+        for chunk in chunks(&lines) {
+            // Standard output is the only place to report to; a failure is counted.
+            if std::io::stdout().lock().write_all(chunk.as_bytes()).is_err() {
+                DROPPED.fetch_add(chunk.lines().count() as u64, Ordering::Relaxed);
+            }
         }
-        // Standard output is the only place to report to; a failure has no other outlet.
-        std::io::stdout().lock().write_all(text.as_bytes()).ok();
         thread::sleep(FLUSH_PERIOD_MS.to_duration());
     }
 }
 
+/// Joins whole lines to texts of at most [`CHUNK_BYTES`], but for lines that are longer.
+pub fn chunks(lines: &[String]) -> Vec<String> {
+    let mut chunks: Vec<String> = Vec::new();
+    for line in lines {
+        match chunks.last_mut() {
+            Some(chunk) if chunk.len() + line.len() < CHUNK_BYTES => chunk.push_str(line),
+            _ => chunks.push(line.clone()),
+        }
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push('\n');
+        }
+    }
+    chunks
+}
+
 /// Writes a structured line: `event!("job.accepted", "job" => id, "queue" => queue)`.
 ///
 /// Values are anything that `serde_json::Value` is made from; ids go as text.
