--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -121,7 +121,7 @@
         let Some(leader) = self.leading.borrow().clone() else { return };
         if leader.loaded.get() {
             leader.cell.borrow_mut().set_may_start(false);
-            self.store_changes(&leader).await;
+            self.store_rest(&leader).await;
         }
         self.drop_lead(why);
         // The lease ends by itself if this call is lost.
@@ -205,8 +205,10 @@
             .collect();
         let (cancels, jobs): (Vec<Item>, Vec<Item>) =
             intake.into_iter().partition(|item| item.key.starts_with(keys::CANCELS));
+        let mut records: Vec<JobRecord> = jobs.iter().filter_map(read).collect();
+        records.sort_by_key(|record| record.accepted_unix_ms);
         let mut cell = leader.cell.borrow_mut();
-        for record in jobs.iter().filter_map(read::<JobRecord>) {
+        for record in records {
             let stored = progress.get(&record.id);
             cell.restore(record, stored, now);
         }
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -13,7 +13,8 @@
 use crate::node::Node;
 use crate::ports::{Commit, StoreError, Transaction};
 
-/// Shortest time between two batches: ends of that time share a call.
+/// Shortest time between two batches: ends of that time share a call, and other writes of the
+/// leader take their turn however many batches wait.
 const BATCH_PERIOD_MS: Millis = Millis(20);
 /// Pause after a failed batch.
 const RETRY_MS: Millis = Millis(100);
@@ -25,6 +26,7 @@
 const EXPIRE_JOBS: usize = 9;
 
 /// Outcome of one batch.
+#[derive(Clone, Copy)]
 enum Stored {
     Done(u64),
     Deposed,
@@ -37,10 +39,15 @@
         let mut expired_ms = clock::now();
         loop {
             leader.to_store.notified().await;
-            if !self.store_changes(&leader).await {
-                tokio::time::sleep(RETRY_MS.to_duration()).await;
-                leader.to_store.notify_one();
-                continue;
+            match self.store_next(&leader).await {
+                Some(Stored::Failed) => {
+                    tokio::time::sleep(RETRY_MS.to_duration()).await;
+                    leader.to_store.notify_one();
+                    continue;
+                }
+                // There may be more changes than fit into a batch.
+                Some(_) => leader.to_store.notify_one(),
+                None => {}
             }
             self.store_roster(&leader, &mut roster).await;
             if clock::now().since(expired_ms) > EXPIRE_PERIOD_MS {
@@ -51,31 +58,28 @@
         }
     }
 
-    /// Stores all changes. False if some are left.
-    pub(crate) async fn store_changes(&self, leader: &Leader) -> bool {
+    /// Stores all changes, at the end of a term. What cannot be stored is left to the next leader.
+    pub(crate) async fn store_rest(&self, leader: &Leader) {
+        while let Some(Stored::Done(_)) = self.store_next(leader).await {}
+    }
+
+    /// Stores the next batch; none if nothing changed.
+    async fn store_next(&self, leader: &Leader) -> Option<Stored> {
         let _one_at_a_time = leader.storing.lock().await;
-        loop {
-            let batch = leader.cell.borrow_mut().take_batch(BATCH_JOBS);
-            let Some(batch) = batch else { return true };
-            let began_ms = clock::now();
-            let outcome = self.store_batch(leader, &batch).await;
-            self.metrics.time_ms("batch_ms", clock::now().since(began_ms).0);
-            match outcome {
-                Stored::Done(revision) => {
-                    leader.batch_revision.set(revision);
-                    leader.cell.borrow_mut().batch_stored(&batch);
-                    self.metrics.count("batches");
-                }
-                Stored::Deposed => {
-                    self.drop_lead("the store has another leader");
-                    return true;
-                }
-                Stored::Failed => {
-                    leader.cell.borrow_mut().batch_failed(&batch);
-                    return false;
-                }
+        let batch = leader.cell.borrow_mut().take_batch(BATCH_JOBS)?;
+        let began_ms = clock::now();
+        let outcome = self.store_batch(leader, &batch).await;
+        self.metrics.time_ms("batch_ms", clock::now().since(began_ms).0);
+        match outcome {
+            Stored::Done(revision) => {
+                leader.batch_revision.set(revision);
+                leader.cell.borrow_mut().batch_stored(&batch);
+                self.metrics.count("batches");
             }
+            Stored::Deposed => self.drop_lead("the store has another leader"),
+            Stored::Failed => leader.cell.borrow_mut().batch_failed(&batch),
         }
+        Some(outcome)
     }
 
     async fn store_batch(&self, leader: &Leader, batch: &Batch) -> Stored {
--- /dev/null
+++ b/components/cluster/tests/world/mod.rs
@@ -0,0 +1,370 @@
+//! A store, workers and a configuration in memory, behind the ports of a process.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cell::{
+    CellSettings, EndedRun, Ending, JobRecord, JobSpec, Look, LookOrder, PaceOrder, Policy,
+    QueuePolicy, StartAnswer, StartOrder, StepKey, StepSpec, StopOrder, WorkerReport,
+};
+use cluster::{
+    Advice, Advisor, Change, Commit, Configuration, Directory, Item, Later, LookAnswer, Node,
+    NodeSettings, Ports, RawRules, Rules, Store, StoreError, StoreResult, Transaction,
+    WorkerChange, Workers,
+};
+use libs::tokio;
+use types::{Millis, Resources, WorkerId};
+
+/// Time of a call to the store: one that is slow.
+const STORE_CALL_MS: Millis = Millis(25);
+/// Time of a call to a worker.
+const WORKER_CALL_MS: Millis = Millis(3);
+
+/// Longer than any test, so that no lead ends by itself.
+const LEADER_LEASE_MS: Millis = Millis(60_000);
+
+/// A stored item with its lease, 0 for none.
+type Stored = (Item, u64);
+
+/// Everything outside of the processes under test.
+#[derive(Default)]
+pub struct Outside {
+    items: RefCell<BTreeMap<String, Stored>>,
+    revision: Cell<u64>,
+    /// Length and end of each lease.
+    leases: RefCell<BTreeMap<u64, (Millis, Millis)>>,
+    workers: RefCell<Vec<WorkerReport>>,
+    ended: RefCell<BTreeMap<WorkerId, Vec<EndedRun>>>,
+    /// Keys written by each transaction that was carried out.
+    pub commits: RefCell<Vec<Vec<String>>>,
+}
+
+impl Outside {
+    pub fn add_worker(&self, id: &str) {
+        self.workers.borrow_mut().push(WorkerReport {
+            id: id.parse().expect("worker id"),
+            born_unix_ms: 1,
+            address: address(),
+            service: "mill".into(),
+            rack: None,
+            labels: Vec::new(),
+            capacity: Resources { cpu_milli: 100, mem_mb: 64_000, accels: 0 },
+            draining: false,
+            leaves_in_ms: None,
+        });
+    }
+
+    /// Transactions that wrote a key with this beginning.
+    pub fn writes_of(&self, prefix: &str) -> usize {
+        let commits = self.commits.borrow();
+        commits.iter().filter(|keys| keys.iter().any(|key| key.starts_with(prefix))).count()
+    }
+
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.drop_lapsed();
+        self.items.borrow().get(key).map(|(item, _)| item.value.clone())
+    }
+
+    /// Makes a lease that nobody renews.
+    pub fn make_lease(&self, ttl_ms: Millis) -> u64 {
+        let id = self.next_revision();
+        self.leases.borrow_mut().insert(id, (ttl_ms, clock::now() + ttl_ms));
+        id
+    }
+
+    pub fn put(&self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+        let revision = self.next_revision();
+        let item = Item { key: key.to_owned(), value, revision };
+        self.items.borrow_mut().insert(key.to_owned(), (item, lease));
+        revision
+    }
+
+    fn next_revision(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+
+    fn drop_lapsed(&self) {
+        let now = clock::now();
+        let mut leases = self.leases.borrow_mut();
+        leases.retain(|_, (_, until_ms)| *until_ms > now);
+        self.items.borrow_mut().retain(|_, (_, lease)| *lease == 0 || leases.contains_key(lease));
+    }
+
+    fn commit(&self, transaction: &Transaction) -> StoreResult<Commit> {
+        self.drop_lapsed();
+        let revision_of =
+            |key: &String| self.items.borrow().get(key).map_or(0, |(item, _)| item.revision);
+        if transaction.expected.iter().any(|(key, revision)| revision_of(key) != *revision) {
+            return Ok(Commit::Conflict);
+        }
+        // All writes of a transaction have the same revision.
+        let revision = self.next_revision();
+        for (key, value, lease) in &transaction.puts {
+            let item = Item { key: key.clone(), value: value.clone(), revision };
+            self.items.borrow_mut().insert(key.clone(), (item, *lease));
+        }
+        for key in &transaction.removes {
+            self.items.borrow_mut().remove(key);
+        }
+        let keys = transaction.puts.iter().map(|(key, ..)| key.clone()).collect();
+        self.commits.borrow_mut().push(keys);
+        Ok(Commit::Done(revision))
+    }
+}
+
+/// The outside as a process reaches it.
+#[derive(Clone)]
+pub struct Reach(pub Rc<Outside>);
+
+async fn pause(ms: Millis) {
+    tokio::time::sleep(ms.to_duration()).await;
+}
+
+/// An address at which nobody listens.
+pub fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+impl Store for Reach {
+    fn get<'a>(&'a self, key: &'a str) -> Later<'a, StoreResult<Option<Item>>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            self.0.drop_lapsed();
+            Ok(self.0.items.borrow().get(key).map(|(item, _)| item.clone()))
+        })
+    }
+
+    fn range<'a>(&'a self, prefix: &'a str) -> Later<'a, StoreResult<(Vec<Item>, u64)>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            let items = self.0.items.borrow();
+            let found = items.values().filter(|(item, _)| item.key.starts_with(prefix));
+            Ok((found.map(|(item, _)| item.clone()).collect(), self.0.revision.get()))
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait_ms: Millis,
+    ) -> Later<'a, StoreResult<(Vec<Change>, u64)>> {
+        Box::pin(async move {
+            let until = clock::now() + wait_ms;
+            loop {
+                pause(STORE_CALL_MS).await;
+                let (items, at) = self.range(prefix).await?;
+                let newer: Vec<Change> = items
+                    .into_iter()
+                    .filter(|item| item.revision > after)
+                    .map(Change::Put)
+                    .collect();
+                if !newer.is_empty() || clock::now() > until {
+                    return Ok((newer, at));
+                }
+            }
+        })
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Later<'a, StoreResult<Commit>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            self.0.commit(transaction)
+        })
+    }
+
+    fn lease(&self, ttl_ms: Millis) -> Later<'_, StoreResult<u64>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            Ok(self.0.make_lease(ttl_ms))
+        })
+    }
+
+    fn renew(&self, lease: u64) -> Later<'_, StoreResult<()>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            self.0.drop_lapsed();
+            let mut leases = self.0.leases.borrow_mut();
+            let (ttl_ms, until_ms) = leases.get_mut(&lease).ok_or(StoreError::LeaseGone)?;
+            *until_ms = clock::now() + *ttl_ms;
+            Ok(())
+        })
+    }
+
+    fn end_lease(&self, lease: u64) -> Later<'_, StoreResult<()>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            self.0.leases.borrow_mut().remove(&lease);
+            Ok(())
+        })
+    }
+}
+
+impl Directory for Reach {
+    fn list(&self) -> Later<'_, StoreResult<(Vec<WorkerReport>, u64)>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            Ok((self.0.workers.borrow().clone(), 0))
+        })
+    }
+
+    fn changes(
+        &self,
+        _after: u64,
+        _wait_ms: Millis,
+    ) -> Later<'_, StoreResult<(Vec<WorkerChange>, u64)>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            let workers = self.0.workers.borrow().clone();
+            let listed = |report| WorkerChange::Listed(Box::new(report));
+            Ok((workers.into_iter().map(listed).collect(), 0))
+        })
+    }
+}
+
+/// Workers that end each task as soon as it starts.
+impl Workers for Reach {
+    fn start<'a>(&'a self, order: &'a StartOrder) -> Later<'a, StartAnswer> {
+        Box::pin(async move {
+            pause(WORKER_CALL_MS).await;
+            let mut ended = self.0.ended.borrow_mut();
+            let ended = ended.entry(order.worker.clone()).or_default();
+            let number = ended.last().map_or(1, |end| end.number + 1);
+            ended.push(EndedRun {
+                number,
+                task: order.task.clone(),
+                attempt: order.attempt,
+                ending: Ending::Done,
+                checkpoint: "".into(),
+            });
+            StartAnswer::Started
+        })
+    }
+
+    fn stop<'a>(&'a self, _order: &'a StopOrder) -> Later<'a, bool> {
+        Box::pin(std::future::ready(true))
+    }
+
+    fn pace<'a>(&'a self, _order: &'a PaceOrder) -> Later<'a, bool> {
+        Box::pin(std::future::ready(true))
+    }
+
+    fn look<'a>(&'a self, worker: &'a WorkerId, order: &'a LookOrder) -> Later<'a, LookAnswer> {
+        Box::pin(async move {
+            pause(WORKER_CALL_MS).await;
+            let ended = self.0.ended.borrow();
+            let ended = ended.get(worker).map_or(&[][..], Vec::as_slice);
+            LookAnswer::Seen(Box::new(Look {
+                born_unix_ms: 1,
+                clock_ms: clock::now(),
+                active: Vec::new(),
+                ended: ended.iter().filter(|end| end.number > order.ack).cloned().collect(),
+                more_ended: false,
+            }))
+        })
+    }
+}
+
+impl Advisor for Reach {
+    fn advise<'a>(
+        &'a self,
+        _step: &'a StepKey,
+        _workers: &'a [WorkerId],
+        _timeout_ms: Millis,
+    ) -> Later<'a, Option<Advice>> {
+        Box::pin(std::future::ready(None))
+    }
+}
+
+impl Configuration for Reach {
+    fn fetch(&self) -> Later<'_, StoreResult<Option<RawRules>>> {
+        Box::pin(async move {
+            pause(STORE_CALL_MS).await;
+            Ok(Some(RawRules { revision: 1, text: Vec::new() }))
+        })
+    }
+
+    fn parse(&self, _text: &[u8]) -> errors::Result<Rules> {
+        let mut policy = Policy { version: 1, ..Policy::default() };
+        policy.queues.insert("orders".parse()?, queue());
+        Ok(Rules { policy: Rc::new(policy), ..Rules::default() })
+    }
+}
+
+fn queue() -> QueuePolicy {
+    QueuePolicy {
+        service: "mill".into(),
+        priority: 0,
+        max_attempts: 3,
+        target_factor: 1.5,
+        target_latency_ms: Millis(250),
+        advice: None,
+        public: true,
+    }
+}
+
+/// A job of one task.
+pub fn job(number: u64) -> JobRecord {
+    let need = Resources { cpu_milli: 100, mem_mb: 10, accels: 0 };
+    let step = StepSpec { tasks: 1, need, estimate_ms: Millis(10), ..StepSpec::default() };
+    JobRecord {
+        id: format!("{number:016x}").parse().expect("job id"),
+        queue: "orders".parse().expect("queue"),
+        team: None,
+        policy: queue(),
+        spec: JobSpec { payload: String::new(), steps: vec![step], timetable: None },
+        accepted_unix_ms: eventlog::unix_ms(),
+    }
+}
+
+/// A process that reaches the outside.
+pub fn node(name: &str, outside: &Rc<Outside>) -> Rc<Node> {
+    let reach = Reach(outside.clone());
+    let ports = Ports {
+        store: Box::new(reach.clone()),
+        directory: Box::new(reach.clone()),
+        workers: Box::new(reach.clone()),
+        advisor: Box::new(reach.clone()),
+        configuration: Box::new(reach),
+    };
+    let settings = NodeSettings {
+        name: name.into(),
+        peer_address: address(),
+        strength: 500,
+        leader_lease_ms: LEADER_LEASE_MS,
+        cell: CellSettings {
+            lease_ms: Millis(4_500),
+            max_lease_ms: Millis(6_000),
+            keep_ended_ms: Millis(1_000),
+            look_wait_ms: Millis(50),
+        },
+    };
+    Node::new(settings, ports, web::Client::default())
+}
+
+/// Runs a test on one thread. All its tasks are gone afterwards, as after a kill.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Runs a process until a condition holds. False if it does not hold in some seconds.
+pub async fn run_node_until(node: Rc<Node>, condition: impl Fn() -> bool) -> bool {
+    /// Some hundred times what a start and an election take.
+    const PATIENCE_MS: Millis = Millis(5_000);
+    let token = clock::CancellationToken::new();
+    tokio::task::spawn_local(node.run(token, clock::CancellationToken::new()));
+    let until = clock::now() + PATIENCE_MS;
+    while !condition() {
+        if clock::now() > until {
+            return false;
+        }
+        pause(Millis(5)).await;
+    }
+    true
+}
