--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -271,6 +271,10 @@
 
     /// Logs, once a second, which workers inherited tasks wait for.
     pub(crate) fn log_unknown_workers(&mut self, now: Millis) {
+        if self.logged_unknown_ms == Millis(0) {
+            // Most workers answer at once.
+            self.logged_unknown_ms = now;
+        }
         if now.since(self.logged_unknown_ms) < LOG_UNKNOWN_MS {
             return;
         }
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -4,7 +4,8 @@
 //! more work than room, and what is served late is worth a fifth of what is served in time.
 //! Steps that must begin now to meet their objective go first, by priority; those that are late
 //! but still worth something follow; then those that can wait without being late; what is too
-//! late to be of use takes idle room.
+//! late to be of use takes idle room. What a team sends beyond its share takes room that the
+//! others' share leaves, ahead of what can wait, since that loses nothing by it.
 
 use std::collections::BTreeMap;
 
@@ -31,17 +32,19 @@
     InTime,
     /// It can still end within three objectives.
     Late,
+    /// It could end within its objective, but its team sends more than its share.
+    Excess,
     /// It can end within its objective also if it begins later.
     Patient,
     /// It is too late to be of use, but must be done.
     Overdue,
+    /// It is late, and beyond its team's share.
+    LateExcess,
 }
 
 /// Position of a step among all that wait. Lower goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// Its team sends more than its share: it takes only room that others leave.
-    pub(crate) over_share: bool,
     pub(crate) outlook: Outlook,
     pub(crate) priority: u32,
     pub(crate) deadline_ms: Millis,
@@ -50,7 +53,7 @@
 impl Rank {
     /// Whether the step leaves some room to more urgent work that may come.
     pub(crate) fn can_wait(&self) -> bool {
-        self.over_share || matches!(self.outlook, Outlook::Patient | Outlook::Overdue)
+        matches!(self.outlook, Outlook::Patient | Outlook::Overdue)
     }
 }
 
@@ -86,7 +89,12 @@
     } else {
         Outlook::Overdue
     };
-    Rank { over_share, outlook, priority: policy.priority, deadline_ms: due_ms + objective }
+    let outlook = match outlook {
+        Outlook::InTime if over_share => Outlook::Excess,
+        Outlook::Late | Outlook::Overdue if over_share => Outlook::LateExcess,
+        other => other,
+    };
+    Rank { outlook, priority: policy.priority, deadline_ms: due_ms + objective }
 }
 
 /// Jobs a team may send at once, in seconds of its rate: callers come unevenly.
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -38,6 +38,7 @@
             return;
         }
         self.changed = false;
+        self.check_recovery(now);
         self.wanted_by_urgent = Resources::ZERO;
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
@@ -113,8 +114,8 @@
         {
             self.ask(key, spec, &queue, advice, waiting.len() - started, now);
         }
-        let urgent = candidate.rank.outlook == Outlook::InTime && !candidate.rank.over_share;
-        if started < waiting.len() && urgent && queue.priority == 0 {
+        let urgent = candidate.rank.outlook == Outlook::InTime && queue.priority == 0;
+        if started < waiting.len() && urgent {
             self.preempt(key, spec, &queue, waiting.len() - started, now);
         }
     }
--- a/components/cell/src/watch.rs
+++ b/components/cell/src/watch.rs
@@ -40,12 +40,17 @@
         if self.recovering {
             self.log_unknown_workers(now);
         }
+        self.check_recovery(now);
+        self.changed = true;
+    }
+
+    /// Lets inherited tasks start once no worker can run them unseen.
+    pub(crate) fn check_recovery(&mut self, now: Millis) {
         if self.recovering && self.all_workers_known(now) {
             self.recovering = false;
             event!("cell.recovered", "epoch" => self.epoch, "workers" => self.workers.len(),
                 "jobs" => self.jobs.len());
         }
-        self.changed = true;
     }
 
     fn repeat_stops(&mut self, now: Millis) {
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -192,11 +192,18 @@
 
     async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
         let store = &self.ports.store;
-        let (intake, intake_after) = self.store_result(store.range(keys::INTAKE).await)?;
-        let (progress, _) = self.store_result(store.range(keys::PROGRESS).await)?;
-        let batch = self.store_result(store.get(keys::BATCH).await)?;
-        let roster = self.store_result(store.get(keys::ROSTER).await)?;
-        let (workers, workers_after) = self.store_result(self.ports.directory.list().await)?;
+        let (intake, progress, batch, roster, workers) = tokio::join!(
+            store.range(keys::INTAKE),
+            store.range(keys::PROGRESS),
+            store.get(keys::BATCH),
+            store.get(keys::ROSTER),
+            self.ports.directory.list(),
+        );
+        let (intake, intake_after) = self.store_result(intake)?;
+        let (progress, _) = self.store_result(progress)?;
+        let batch = self.store_result(batch)?;
+        let roster = self.store_result(roster)?;
+        let (workers, workers_after) = self.store_result(workers)?;
         let now = clock::now();
         let progress: BTreeMap<JobId, Progress> = progress
             .iter()
