A team's urgent jobs take room in its own limit from its long ones

Ruled out: advice (three calls each), room. Change: work that can wait leaves 15% of its team's limit free, and an urgent step at the limit stops long tasks of the same team that save their progress. Test: load_patterns.rs.

--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -4,13 +4,13 @@
 //! tasks that save their progress. A stopped task saves once more, so it loses no work, and its
 //! job has seconds of slack; an urgent job is late after one.
 
-use types::{Millis, Resources, WorkerId};
+use types::{Millis, Resources, TeamId, WorkerId};
 
 use crate::advice::UNKNOWN_ALLOWED;
 use crate::cell::Cell;
 use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::order::Outlook;
-use crate::worker::{RunState, Worker};
+use crate::worker::{Run, RunState, Worker};
 
 /// Times that one task may be stopped for others.
 const MAX_TIMES: u32 = 2;
@@ -26,6 +26,9 @@
     worker: WorkerId,
     task: TaskKey,
     frees: Resources,
+    /// What it counts against its team's limit.
+    need: Resources,
+    team: Option<TeamId>,
     /// Its job must go on to be in time.
     in_time: bool,
 }
@@ -86,6 +89,64 @@
         }
     }
 
+    /// Stops less urgent tasks of the same team, so that `tasks` tasks of a step fit into its limit.
+    ///
+    /// Load pattern: a burst of urgent jobs of a team whose long jobs have filled its limit, while
+    /// workers have room.
+    pub(crate) fn preempt_own_team(
+        &mut self,
+        key: &StepKey,
+        spec: &StepSpec,
+        queue: &QueuePolicy,
+        tasks: usize,
+        now: Millis,
+    ) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(team) = job.record.team.clone() else { return };
+        let Some(step) = self.step_mut(key) else { return };
+        if now < step.preempt_after_ms {
+            return;
+        }
+        step.preempt_after_ms = now + PAUSE_MS;
+        let mut short = self.over_limit(&team, &spec.need.times(tasks as u64));
+        let mut victims = Vec::new();
+        for (id, worker) in &self.workers {
+            if !worker.reachable {
+                continue;
+            }
+            let ours = |run: &&Run| run.team.as_ref() == Some(&team);
+            short = worker
+                .runs
+                .values()
+                .filter(|run| is_ending(run))
+                .filter(ours)
+                .fold(short, |short, run| short.minus(&run.need));
+            self.collect_victims(id, worker, queue.priority, now, &mut victims);
+        }
+        victims.retain(|victim| victim.team.as_ref() == Some(&team));
+        victims.sort_by_key(|victim| (victim.in_time, std::cmp::Reverse(victim.need.cpu_milli)));
+        for victim in victims.into_iter().take(MAX_STOPS) {
+            if short == Resources::ZERO {
+                break;
+            }
+            short = short.minus(&victim.need);
+            self.count_preemption(&victim.task);
+            self.stop_run(&victim.worker, &victim.task, "urgent work of the same team", now);
+        }
+    }
+
+    /// What a team would use above its limit with some more.
+    fn over_limit(&self, team: &TeamId, more: &Resources) -> Resources {
+        let limit = self.policy.teams.get(team).map(|policy| policy.limit).unwrap_or_default();
+        let used = self.used_by_team.get(team).copied().unwrap_or_default().plus(more);
+        let over = |limit: u64, used: u64| if limit == 0 { 0 } else { used.saturating_sub(limit) };
+        Resources {
+            cpu_milli: over(limit.cpu_milli, used.cpu_milli),
+            mem_mb: over(limit.mem_mb, used.mem_mb),
+            accels: over(limit.accels, used.accels),
+        }
+    }
+
     fn collect_victims(
         &self,
         id: &WorkerId,
@@ -117,6 +178,8 @@
                     worker: id.clone(),
                     task: task.clone(),
                     frees: run.charge,
+                    need: run.need,
+                    team: run.team.clone(),
                     in_time: job.outlook == Outlook::InTime,
                 });
             }
@@ -135,6 +198,10 @@
     worker
         .runs
         .values()
-        .filter(|run| matches!(run.state, RunState::Stopping | RunState::Stopped))
+        .filter(|run| is_ending(run))
         .fold(Resources::ZERO, |sum, run| sum.plus(&run.charge))
 }
+
+fn is_ending(run: &Run) -> bool {
+    matches!(run.state, RunState::Stopping | RunState::Stopped)
+}
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -22,6 +22,10 @@
 /// urgent work comes within a second, and stopping others for it takes as long.
 const HEADROOM_PERCENT: u64 = 10;
 
+/// Part of a team's limit that its work which can wait leaves to its urgent work, in percent:
+/// about what a burst of twice the usual adds.
+const TEAM_HEADROOM_PERCENT: u64 = 15;
+
 /// The last attempt of a task waits this long for a worker without a failure.
 const CAREFUL_MS: Millis = Millis(1_000);
 
@@ -103,7 +107,8 @@
             self.stop_partial_gang(key, now);
             return;
         }
-        let placed = self.choose(key, spec, &queue, &waiting, now);
+        let kept_percent = if candidate.rank.can_wait() { TEAM_HEADROOM_PERCENT } else { 0 };
+        let placed = self.choose(key, spec, &queue, &waiting, kept_percent, now);
         let whole = !spec.gang || placed.len() == waiting.len();
         let started = if whole { placed.len() } else { 0 };
         if whole {
@@ -116,7 +121,11 @@
         }
         let urgent = candidate.rank.outlook == Outlook::InTime && queue.priority == 0;
         if started < waiting.len() && urgent {
-            self.preempt(key, spec, &queue, waiting.len() - started, now);
+            if self.team_room(key, spec) == 0 {
+                self.preempt_own_team(key, spec, &queue, waiting.len() - started, now);
+            } else {
+                self.preempt(key, spec, &queue, waiting.len() - started, now);
+            }
         }
     }
 
@@ -203,6 +212,7 @@
         spec: &StepSpec,
         queue: &QueuePolicy,
         waiting: &[u32],
+        kept_percent: u64,
         now: Millis,
     ) -> Vec<(u32, WorkerId, Option<CompactString>)> {
         let Some(step) = self.step(key) else {
@@ -243,7 +253,7 @@
                 consider(id, worker);
             }
         }
-        let mut limit = self.team_room(key, spec);
+        let mut limit = self.team_room_but(key, spec, kept_percent);
         let mut chosen = Vec::new();
         for index in waiting {
             if limit == 0 {
@@ -285,13 +295,19 @@
 
     /// How many more tasks of the step its team may run.
     fn team_room(&self, key: &StepKey, spec: &StepSpec) -> u64 {
+        self.team_room_but(key, spec, 0)
+    }
+
+    /// The same, but a part of the team's limit is kept free.
+    fn team_room_but(&self, key: &StepKey, spec: &StepSpec, kept_percent: u64) -> u64 {
         let Some(job) = self.jobs.get(&key.job) else { return 0 };
         let Some(team) = &job.record.team else { return u64::MAX };
         let Some(policy) = self.policy.teams.get(team) else { return u64::MAX };
         let used = self.used_by_team.get(team).copied().unwrap_or_default();
         let used = used.plus(&self.maybe_used(team));
         let most = |limit: u64, used: u64, need: u64| {
-            if limit == 0 || need == 0 { u64::MAX } else { limit.saturating_sub(used) / need }
+            let limit_here = limit * (100 - kept_percent) / 100;
+            if limit == 0 || need == 0 { u64::MAX } else { limit_here.saturating_sub(used) / need }
         };
         most(policy.limit.cpu_milli, used.cpu_milli, spec.need.cpu_milli)
             .min(most(policy.limit.mem_mb, used.mem_mb, spec.need.mem_mb))
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -353,3 +353,37 @@
     // The stop without an answer is repeated.
     assert_eq!(stopped(&mut cell, 750), vec![1, 0]);
 }
+
+/// Jobs of a team whose long work has filled its limit, on a fleet that is half empty. Returns the
+/// slowest quick job.
+fn quick_jobs_of_a_team_at_its_limit(checkpoints: bool) -> u64 {
+    let mut rules = policy();
+    if let Some(batch) = rules.queues.get_mut(&"batch".parse().expect("queue")) {
+        batch.target_factor = 2.2;
+    }
+    let mut world = calm(fleet(4), rules);
+    // The limit is 24 cores.
+    for number in 0..8 {
+        let long = StepSpec { checkpoints, ..step(1, 4, 8_000) };
+        let id = format!("{number:016x}");
+        let (when, record) = at(job(&id, "batch", "small", vec![long]), 100);
+        world.submit_at(when, record);
+    }
+    for number in 100..104 {
+        let id = format!("{number:016x}");
+        let (when, record) = at(job(&id, "quick", "small", vec![step(4, 2, 500)]), 2_000);
+        world.submit_at(when, record);
+    }
+    world.run_until(Millis(40_000));
+    assert!(world.checks.broken.is_empty(), "{:?}", world.checks.broken);
+    (100..104).map(|number| took(&world, &format!("{number:016x}"), 2_000)).max().unwrap_or(0)
+}
+
+#[test]
+fn a_teams_urgent_jobs_take_room_in_its_limit_from_its_long_ones() {
+    let before = quick_jobs_of_a_team_at_its_limit(false);
+    let quick = quick_jobs_of_a_team_at_its_limit(true);
+    // Three objectives are 3 s.
+    assert!(before > 3_000, "{before}");
+    assert!(quick < 3_000, "{quick}");
+}
