--- a/components/cluster/src/looks.rs
+++ b/components/cluster/src/looks.rs
@@ -11,7 +11,7 @@
 
 /// Pause after a look without news, so that a broken worker cannot make the loop spin.
 const QUIET_PAUSE_MS: Millis = Millis(10);
-/// Pause after a failed look.
+/// Pause after a failed look, but for the first in a row.
 const FAILED_PAUSE_MS: Millis = Millis(250);
 /// Longest wait for ends to be stored before the next look.
 const STORE_WAIT_MS: Millis = Millis(60);
@@ -38,14 +38,19 @@
 
     async fn look_loop(self: Rc<Self>, leader: Rc<Leader>, id: WorkerId) {
         let mut wait = false;
+        let mut failed = false;
         loop {
             let Some(seen) = self.look_once(&leader, &id, wait).await else { break };
             if !seen {
-                tokio::time::sleep(FAILED_PAUSE_MS.to_duration()).await;
+                // A single answer that is lost says little.
+                let pause_ms = if failed { FAILED_PAUSE_MS } else { QUIET_PAUSE_MS };
+                tokio::time::sleep(pause_ms.to_duration()).await;
                 wait = false;
+                failed = true;
                 continue;
             }
             wait = true;
+            failed = false;
             if leader.cell.borrow().has_unstored_ends(&id) {
                 leader.to_store.notify_one();
                 tokio::time::sleep(STORE_WAIT_MS.to_duration()).await;
