A look whose answer is late is sent once more beside the first

Ruled out: the election (1.0 s), loading (41 ms). Change: a second look 150 ms after the first one's wait; the first usable answer counts.

--- a/components/cluster/src/looks.rs
+++ b/components/cluster/src/looks.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use cell::LookOrder;
 use libs::tokio;
 use types::{Millis, WorkerId};
 
@@ -15,6 +16,9 @@
 const FAILED_PAUSE_MS: Millis = Millis(250);
 /// Longest wait for ends to be stored before the next look.
 const STORE_WAIT_MS: Millis = Millis(60);
+/// A look without an answer this long after its wait is sent once more beside the first: an
+/// answer takes some milliseconds, and one lost answer must not hold up a new leader.
+const HEDGE_MS: Millis = Millis(150);
 /// Pause between looks while ends cannot be stored: the answers repeat them.
 const UNSTORED_PAUSE_MS: Millis = Millis(200);
 
@@ -65,6 +69,27 @@
         leader.looked_at.borrow_mut().remove(&id);
     }
 
+    /// Sends a look, and sends it again if the answer is late. The first usable answer counts.
+    async fn look_hedged(&self, id: &WorkerId, order: &LookOrder) -> LookAnswer {
+        let mut first = self.ports.workers.look(id, order);
+        let late = tokio::time::sleep((order.wait_ms + HEDGE_MS).to_duration());
+        tokio::select! {
+            answer = &mut first => return answer,
+            () = late => self.metrics.count("looks_hedged"),
+        }
+        let mut second = self.ports.workers.look(id, order);
+        tokio::select! {
+            answer = &mut first => match answer {
+                LookAnswer::Failed => second.await,
+                usable => usable,
+            },
+            answer = &mut second => match answer {
+                LookAnswer::Failed => first.await,
+                usable => usable,
+            },
+        }
+    }
+
     /// One look. None once the worker is forgotten, else whether it answered.
     pub(crate) async fn look_once(
         &self,
@@ -74,7 +99,7 @@
     ) -> Option<bool> {
         let sent_ms = clock::now();
         let order = leader.cell.borrow_mut().look_order(id, wait, sent_ms)?;
-        let answer = self.ports.workers.look(id, &order).await;
+        let answer = self.look_hedged(id, &order).await;
         self.metrics.count("looks");
         let now = clock::now();
         let mut cell = leader.cell.borrow_mut();
--- a/components/cluster/tests/world/mod.rs
+++ b/components/cluster/tests/world/mod.rs
@@ -23,6 +23,8 @@
 /// Time of a call to a worker.
 const WORKER_CALL_MS: Millis = Millis(3);
 
+/// A call without an answer ends after this time, longer than any test.
+const NO_ANSWER_MS: Millis = Millis(60_000);
 /// Longer than any test, so that no lead ends by itself.
 const LEADER_LEASE_MS: Millis = Millis(60_000);
 
@@ -38,6 +40,8 @@
     leases: RefCell<BTreeMap<u64, (Millis, Millis)>>,
     workers: RefCell<Vec<WorkerReport>>,
     ended: RefCell<BTreeMap<WorkerId, Vec<EndedRun>>>,
+    /// Looks that get no answer, counted down.
+    pub lost_looks: Cell<u32>,
     /// Keys written by each transaction that was carried out.
     pub commits: RefCell<Vec<Vec<String>>>,
 }
@@ -256,6 +260,12 @@
     fn look<'a>(&'a self, worker: &'a WorkerId, order: &'a LookOrder) -> Later<'a, LookAnswer> {
         Box::pin(async move {
             pause(WORKER_CALL_MS).await;
+            let lost = self.0.lost_looks.get();
+            if lost > 0 {
+                self.0.lost_looks.set(lost - 1);
+                pause(NO_ANSWER_MS).await;
+                return LookAnswer::Failed;
+            }
             let ended = self.0.ended.borrow();
             let ended = ended.get(worker).map_or(&[][..], Vec::as_slice);
             LookAnswer::Seen(Box::new(Look {
