--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod order;
 mod preempt;
 mod queries;
+mod roster;
 mod runs;
 mod schedule;
 mod watch;
@@ -31,5 +32,5 @@
     AdvicePolicy, Final, JobRecord, JobSpec, JobStatus, Policy, Progress, QueuePolicy, StepKey,
     StepProgress, StepSpec, TaskKey, TeamPolicy, Timetable,
 };
-pub use queries::RosterRow;
+pub use roster::RosterRow;
 pub use worker::WorkerReport;
--- a/components/cell/src/listing.rs
+++ b/components/cell/src/listing.rs
@@ -51,7 +51,7 @@
     ///
     /// A worker that is not listed has been silent for the store for some seconds. If it cannot
     /// be reached from here either, its leases are all but over.
-    pub fn worker_of_former_leader(&mut self, report: WorkerReport, now: Millis) {
+    pub(crate) fn worker_of_former_leader(&mut self, report: WorkerReport, now: Millis) {
         if self.workers.contains_key(&report.id) {
             return;
         }
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -4,8 +4,8 @@
 //! more work than room, and what is served late is worth a fifth of what is served in time.
 //! Steps that must begin now to meet their objective go first, by priority; those that are late
 //! but still worth something follow; then those that can wait without being late; what is too
-//! late to be of use takes idle room. What a team sends beyond its share takes room that the
-//! others' share leaves, ahead of what can wait, since that loses nothing by it.
+//! late to be of use takes idle room. What a team sends beyond its share takes room that others
+//! leave, also what is kept free for bursts: it is short.
 
 use std::collections::BTreeMap;
 
@@ -32,10 +32,10 @@
     InTime,
     /// It can still end within three objectives.
     Late,
-    /// It could end within its objective, but its team sends more than its share.
-    Excess,
     /// It can end within its objective also if it begins later.
     Patient,
+    /// It could end within its objective, but its team sends more than its share.
+    Excess,
     /// It is too late to be of use, but must be done.
     Overdue,
     /// It is late, and beyond its team's share.
--- a/components/cell/src/queries.rs
+++ b/components/cell/src/queries.rs
@@ -1,25 +1,10 @@
 //! Questions that change nothing.
 
-use std::net::SocketAddr;
-
-use serde::{Deserialize, Serialize};
-use types::{JobId, Millis, QueueId, WorkerId};
+use types::{JobId, QueueId, WorkerId};
 
 use crate::cell::Cell;
 use crate::job::Job;
 use crate::model::JobStatus;
-use crate::worker::Worker;
-
-/// A worker that the next leader must look at.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RosterRow {
-    /// The worker.
-    pub worker: WorkerId,
-    /// Where it takes calls.
-    pub address: SocketAddr,
-    /// Start of its life, Unix milliseconds.
-    pub life_unix_ms: u64,
-}
 
 impl Cell {
     /// State of a job as callers see it; none if it is not known here.
@@ -39,20 +24,6 @@
         self.workers.keys().cloned().collect()
     }
 
-    /// The reports of all workers, to be stored for the next leader.
-    pub fn roster(&self, now: Millis) -> Vec<RosterRow> {
-        let row = |worker: &Worker| RosterRow {
-            worker: worker.report.id.clone(),
-            address: worker.report.address,
-            life_unix_ms: worker.life_unix_ms,
-        };
-        // One that drained and is no longer listed has left.
-        let matters = |worker: &&Worker| {
-            worker.listed || (!worker.report.draining && now < worker.lease_over_ms())
-        };
-        self.workers.values().filter(matters).map(row).collect()
-    }
-
     /// Jobs in memory.
     pub fn jobs_known(&self) -> u64 {
         self.jobs.len() as u64
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -194,7 +194,10 @@
         let worker = self.workers.get_mut(id)?;
         // The leases of a worker that does not answer must run out, so that its tasks can start
         // elsewhere; another leader must be able to count on the end of our leases.
-        let renews = self.may_start && worker.reachable && worker.heard_ms > Millis(0);
+        let renews = self.may_start
+            && worker.reachable
+            && !worker.told_silent
+            && worker.heard_ms > Millis(0);
         let deadline_ms = renews.then(|| worker.clock_now(now) + lease);
         if let Some(deadline) = deadline_ms {
             worker.lease_ms = worker.lease_ms.max(deadline);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -92,6 +92,8 @@
     pub(crate) attached: bool,
     /// The last call was answered.
     pub(crate) reachable: bool,
+    /// A stored roster may call it silent.
+    pub(crate) told_silent: bool,
     /// Life that answered last, Unix milliseconds.
     pub(crate) life_unix_ms: u64,
     /// Lives seen in this epoch after the first.
@@ -125,6 +127,7 @@
             leaves_ms: None,
             attached: false,
             reachable: true,
+            told_silent: false,
             clock_ms: Millis(0),
             heard_ms: Millis(0),
             looked_ms: Millis(0),
@@ -154,6 +157,7 @@
     pub(crate) fn takes(&self, queue: &QueuePolicy, spec: &StepSpec, now: Millis) -> bool {
         self.attached
             && self.reachable
+            && !self.told_silent
             && self.listed
             && !self.report.draining
             && self.report.service == queue.service
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -155,14 +155,18 @@
     }
 }
 
-fn cell_with(workers: u32, rules: Policy) -> Cell {
+fn empty_cell(epoch: u64) -> Cell {
     let settings = CellSettings {
         lease_ms: Millis(4_500),
         max_lease_ms: Millis(6_000),
         keep_ended_ms: Millis(120_000),
         look_wait_ms: Millis(0),
     };
-    let mut cell = Cell::new(settings, 1, 1_700_000_000_000);
+    Cell::new(settings, epoch, 1_700_000_000_000)
+}
+
+fn cell_with(workers: u32, rules: Policy) -> Cell {
+    let mut cell = empty_cell(1);
     cell.set_policy(rules.into());
     for number in 0..workers {
         let name = format!("w{number}");
@@ -387,3 +391,54 @@
     assert!(before > 3_000, "{before}");
     assert!(quick < 3_000, "{quick}");
 }
+
+/// A worker is dark for 3 s when the leader dies.
+#[test]
+fn the_next_leader_waits_no_longer_than_a_silent_workers_lease() {
+    let (seen, dark) = ("w0".parse().expect("worker id"), "w1".parse().expect("worker id"));
+    let mut first = cell_with(2, policy());
+    first.look_order(&dark, true, Millis(10)).expect("a look");
+    first.look_failed(&dark, Millis(500));
+    let roster = first.roster(Millis(3_000));
+    let left_ms = roster.iter().find(|row| row.worker == dark).and_then(|row| row.silent_left_ms);
+    // The lease of 4.5 s began at 10 ms, on a clock that may be slow.
+    assert_eq!(left_ms, Some(Millis(2_000)));
+
+    let mut next = empty_cell(2);
+    next.set_policy(policy().into());
+    let mut record = job("00000000000000ad", "batch", "large", vec![step(1, 2, 500)]);
+    record.accepted_unix_ms += 100;
+    next.restore(record, None, Millis(3_500));
+    for name in ["w0", "w1"] {
+        next.worker_listed(report(name), Millis(3_500));
+    }
+    for row in &roster {
+        next.take_roster_row(row, report(row.worker.as_str()), Millis(3_500));
+    }
+    next.look_answered(&seen, Millis(3_500), &shows(Vec::new()), Millis(3_510));
+    next.tick(Millis(5_400));
+    next.schedule(Millis(5_400));
+    assert!(started(&next.take_actions()).is_empty(), "the worker may still run the task");
+    next.tick(Millis(5_600));
+    next.schedule(Millis(5_600));
+    assert_eq!(started(&next.take_actions()).len(), 1);
+}
+
+/// A worker that a stored roster calls silent answers again.
+#[test]
+fn a_worker_told_silent_gets_nothing_until_the_next_roster_is_stored() {
+    let worker = "w0".parse().expect("worker id");
+    let mut cell = cell_with(1, policy());
+    cell.look_failed(&worker, Millis(500));
+    cell.roster(Millis(2_000));
+    cell.look_answered(&worker, Millis(2_100), &shows(Vec::new()), Millis(2_110));
+    cell.submitted(job("00000000000000ae", "batch", "large", vec![step(1, 2, 500)]), Millis(2_120));
+    cell.schedule(Millis(2_120));
+    assert!(started(&cell.take_actions()).is_empty(), "the next leader would not wait for this");
+    let look = cell.look_order(&worker, true, Millis(2_130)).expect("a look");
+    assert_eq!(look.deadline_ms, None, "the next leader would not wait for this lease");
+    let roster = cell.roster(Millis(2_140));
+    cell.roster_stored(&roster);
+    cell.schedule(Millis(2_150));
+    assert_eq!(started(&cell.take_actions()).len(), 1);
+}
--- a/components/cell/tests/world/mod.rs
+++ b/components/cell/tests/world/mod.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 
 use cell::{
-    Action, Batch, Cell, CellSettings, JobRecord, Look, LookOrder, Policy, Progress, StartAnswer,
-    StartOrder, StepKey, StopOrder,
+    Action, Batch, Cell, CellSettings, JobRecord, Look, LookOrder, Policy, Progress, RosterRow,
+    StartAnswer, StartOrder, StepKey, StopOrder,
 };
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
@@ -95,6 +95,8 @@
     epoch: u64,
     cell: Cell,
     deposed: bool,
+    /// The last roster that is known to be stored.
+    known_roster: Vec<RosterRow>,
 }
 
 pub struct World {
@@ -108,6 +110,7 @@
     next: u64,
     policy: Rc<Policy>,
     terms: Vec<Term>,
+    stored_roster: Vec<RosterRow>,
     next_epoch: u64,
     stored_jobs: BTreeMap<JobId, JobRecord>,
     stored_progress: BTreeMap<JobId, Progress>,
@@ -135,6 +138,7 @@
             next: 0,
             policy: Rc::new(policy.clone()),
             terms: Vec::new(),
+            stored_roster: Vec::new(),
             next_epoch: 1,
             stored_jobs: BTreeMap::new(),
             stored_progress: BTreeMap::new(),
@@ -257,6 +261,11 @@
         for worker in self.workers.values() {
             cell.worker_listed(worker.report(), self.now);
         }
+        for row in &self.stored_roster {
+            if let Some(worker) = self.workers.get(&row.worker) {
+                cell.take_roster_row(row, worker.report(), self.now);
+            }
+        }
         // Its lease in the store is over, so it starts nothing more; it notices within a second.
         for term in &mut self.terms {
             term.deposed = true;
@@ -265,7 +274,7 @@
         if let Some(former) = self.terms.last().map(|term| term.epoch) {
             self.after(FORMER_LEADER_MS, Happening::Deposed(former));
         }
-        self.terms.push(Term { epoch, cell, deposed: false });
+        self.terms.push(Term { epoch, cell, deposed: false, known_roster: Vec::new() });
         self.batch_in_progress = false;
     }
 
@@ -419,6 +428,23 @@
         }
     }
 
+    /// The leader stores its roster, unless the call is lost on the way there or back.
+    fn store_roster(&mut self) {
+        let lost = self.chance(self.faults.lose_batch);
+        let unanswered = self.chance(self.faults.lose_batch);
+        let now = self.now;
+        let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
+        let roster = term.cell.roster(now);
+        if lost || roster == term.known_roster {
+            return;
+        }
+        if !unanswered {
+            term.cell.roster_stored(&roster);
+            term.known_roster.clone_from(&roster);
+        }
+        self.stored_roster = roster;
+    }
+
     fn tick(&mut self) {
         let now = self.now;
         for term in &mut self.terms {
@@ -427,6 +453,7 @@
             }
             term.cell.tick(now);
         }
+        self.store_roster();
         if self.chance(self.faults.leader_dies) && !self.terms.is_empty() {
             self.terms.clear();
             self.batch_in_progress = false;
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -44,6 +44,8 @@
     pub(crate) intake_after: StdCell<u64>,
     pub(crate) workers_after: StdCell<u64>,
     pub(crate) batch_revision: StdCell<u64>,
+    /// Revision of the stored roster; none if it is not known.
+    pub(crate) roster_revision: StdCell<Option<u64>>,
     /// Workers with a loop of looks.
     pub(crate) looked_at: RefCell<BTreeSet<WorkerId>>,
     pub(crate) changed: Notify,
@@ -75,6 +77,7 @@
             intake_after: StdCell::new(0),
             workers_after: StdCell::new(0),
             batch_revision: StdCell::new(0),
+            roster_revision: StdCell::new(None),
             looked_at: RefCell::default(),
             changed: Notify::new(),
             to_store: Notify::new(),
@@ -229,8 +232,9 @@
         }
         let former = roster.as_ref().and_then(read::<Vec<RosterRow>>);
         for row in former.unwrap_or_default() {
-            cell.worker_of_former_leader(unlisted_report(&row), now);
+            cell.take_roster_row(&row, unlisted_report(&row), now);
         }
+        leader.roster_revision.set(Some(roster.map_or(0, |item| item.revision)));
         leader.batch_revision.set(batch.map_or(0, |item| item.revision));
         leader.intake_after.set(intake_after);
         leader.workers_after.set(workers_after);
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -136,21 +136,47 @@
         }
     }
 
+    /// Stores what the next leader must know of workers. Each roster is conditional on the one
+    /// before, so that a lost one that is carried out late fails.
     async fn store_roster(&self, leader: &Leader, known: &mut Vec<RosterRow>) {
-        let roster = leader.cell.borrow().roster(clock::now());
+        let roster = leader.cell.borrow_mut().roster(clock::now());
         if roster == *known {
             return;
         }
-        let Ok(value) = encode(&roster) else { return };
+        let Some(revision) = self.roster_revision(leader).await else { return };
+        let value = match encode(&roster) {
+            Ok(value) => value,
+            Err(error) => {
+                event!("store.encode_failed", "key" => keys::ROSTER, "error" => error.to_string());
+                return;
+            }
+        };
         let transaction = Transaction {
-            expected: vec![(keys::LEADER.to_owned(), leader.revision)],
+            expected: vec![
+                (keys::LEADER.to_owned(), leader.revision),
+                (keys::ROSTER.to_owned(), revision),
+            ],
             puts: vec![(keys::ROSTER.to_owned(), value, 0)],
             removes: Vec::new(),
         };
-        if let Ok(Commit::Done(_)) = self.store_result(self.ports.store.commit(&transaction).await)
-        {
+        let stored = self.store_result(self.ports.store.commit(&transaction).await);
+        if let Ok(Commit::Done(revision)) = stored {
+            leader.roster_revision.set(Some(revision));
+            leader.cell.borrow_mut().roster_stored(&roster);
             *known = roster;
+        } else {
+            // It may have been stored, so the revision is read before the next one.
+            leader.roster_revision.set(None);
+        }
+    }
+
+    async fn roster_revision(&self, leader: &Leader) -> Option<u64> {
+        if leader.roster_revision.get().is_none() {
+            let read = self.store_result(self.ports.store.get(keys::ROSTER).await);
+            let revision = read.ok()?.map_or(0, |item| item.revision);
+            leader.roster_revision.set(Some(revision));
         }
+        leader.roster_revision.get()
     }
 
     /// Removes jobs whose time to be known has passed.
