Steps that no former leader can have started go on during a recovery

Change: a run of an earlier step that was found active, of a task that is not done, shows that the steps after it were never started; these may start at once. Not for gangs, whose members outlive the first end.

--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -49,6 +49,8 @@
     pub(crate) ready_ms: Option<Millis>,
     /// No tasks are stopped for it before this time.
     pub(crate) preempt_after_ms: Millis,
+    /// No former leader can have started it.
+    pub(crate) surely_unstarted: bool,
 }
 
 impl Step {
@@ -189,6 +191,29 @@
         }
     }
 
+    /// A run of a former leader was found for a task that is not done: the steps after it cannot
+    /// have been started. A gang is done with its first member, so its runs show nothing.
+    pub(crate) fn found_running(&mut self, occurrence: u32, found: u16) {
+        let record = self.record.clone();
+        let specs = &record.spec.steps;
+        if specs.get(usize::from(found)).is_none_or(|spec| spec.gang) {
+            return;
+        }
+        let Some(occurrence) = self.open.get_mut(&occurrence) else { return };
+        let mut follows = vec![false; specs.len()];
+        for (index, spec) in specs.iter().enumerate() {
+            let after_it = spec.after.iter().any(|earlier| {
+                *earlier == found || follows.get(usize::from(*earlier)) == Some(&true)
+            });
+            if let (Some(slot), Some(step)) =
+                (follows.get_mut(index), occurrence.steps.get_mut(index))
+            {
+                *slot = after_it;
+                step.surely_unstarted |= after_it;
+            }
+        }
+    }
+
     pub(crate) fn step(&self, occurrence: u32, step: u16) -> Option<&Step> {
         self.open.get(&occurrence)?.steps.get(usize::from(step))
     }
--- a/components/cell/src/looks.rs
+++ b/components/cell/src/looks.rs
@@ -185,6 +185,9 @@
                 task.checkpoint = active.checkpoint.clone();
                 step.set_phase(key.index, Phase::Placed(id.clone()));
             }
+            if wanted && job.inherited {
+                job.found_running(key.step.occurrence, key.step.step);
+            }
         }
         event!("task.adopted", "task" => key.to_string(), "attempt" => active.attempt,
             "worker" => id.as_str(), "wanted" => wanted, "percent" => active.percent);
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -70,15 +70,16 @@
         let unix_ms = self.unix_ms(now);
         let mut found = Vec::new();
         for (id, job) in &mut self.jobs {
-            let blocked = job.ended.is_some() || (job.inherited && self.recovering);
-            if blocked {
+            if job.ended.is_some() {
                 continue;
             }
+            // A worker that was not seen yet may run inherited tasks.
+            let unseen_runs = job.inherited && self.recovering;
             let numbers: Vec<u32> = job.open.keys().copied().collect();
             for number in numbers {
                 let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
                 let queue = Cell::queue_policy(&policy, &job.record).clone();
-                for (step, left_ms, lasting) in ready_steps(job, number, now) {
+                for (step, left_ms, lasting) in ready_steps(job, number, unseen_runs, now) {
                     let rank =
                         rank(&queue, due_ms, job.chain_ms, left_ms, job.over_share, lasting, now);
                     job.outlook = rank.outlook;
@@ -418,14 +419,19 @@
 
 /// Steps of an occurrence whose turn has come and that have tasks to start, with the work left
 /// on the longest chain from there.
-fn ready_steps(job: &mut Job, number: u32, now: Millis) -> Vec<(u16, Millis, bool)> {
+fn ready_steps(
+    job: &mut Job,
+    number: u32,
+    unseen_runs: bool,
+    now: Millis,
+) -> Vec<(u16, Millis, bool)> {
     let record = job.record.clone();
     let Some(occurrence) = job.open.get_mut(&number) else { return Vec::new() };
     let done: Vec<bool> = occurrence.steps.iter().map(crate::job::Step::is_done).collect();
     let mut ready = Vec::new();
     for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
         let turn = spec.after.iter().all(|earlier| done.get(usize::from(*earlier)) == Some(&true));
-        if !turn || step.waiting == 0 {
+        if !turn || step.waiting == 0 || (unseen_runs && !step.surely_unstarted) {
             continue;
         }
         step.ready_ms.get_or_insert(now);
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use cell::{
-    Action, ActiveRun, AdvicePolicy, Cell, CellSettings, Final, JobRecord, Look, Policy, Refusal,
-    StartAnswer, StartOrder, StepSpec, WorkerReport,
+    Action, ActiveRun, AdvicePolicy, Cell, CellSettings, EndedRun, Ending, Final, JobRecord, Look,
+    Policy, Refusal, StartAnswer, StartOrder, StepSpec, WorkerReport,
 };
 use types::{Millis, Resources};
 use world::{Faults, Worker, World, job, policy, task};
@@ -442,3 +442,39 @@
     cell.schedule(Millis(2_150));
     assert_eq!(started(&cell.take_actions()).len(), 1);
 }
+
+/// A worker is dark when a new leader takes over, and a first step is in progress elsewhere.
+#[test]
+fn a_step_that_no_former_leader_can_have_started_waits_for_nobody() {
+    let mut cell = empty_cell(2);
+    cell.set_policy(policy().into());
+    let second = StepSpec { after: vec![0], ..step(1, 2, 500) };
+    let record = job("00000000000000af", "batch", "large", vec![step(2, 2, 500), second]);
+    cell.restore(record, None, Millis(10));
+    for name in ["w0", "dark"] {
+        cell.worker_listed(report(name), Millis(10));
+    }
+    let seen = "w0".parse().expect("worker id");
+    let run = |index| ActiveRun {
+        task: task("00000000000000af", 0, index),
+        attempt: 1,
+        checkpoint: Default::default(),
+        percent: 50,
+        gauge: 0,
+    };
+    let active = shows(vec![run(0), run(1)]);
+    cell.look_answered(&seen, Millis(20), &active, Millis(25));
+    let end = |number, index| EndedRun {
+        number,
+        task: task("00000000000000af", 0, index),
+        attempt: 1,
+        ending: Ending::Done,
+        checkpoint: Default::default(),
+    };
+    let ended = Look { ended: vec![end(1, 0), end(2, 1)], ..shows(Vec::new()) };
+    cell.look_answered(&seen, Millis(500), &ended, Millis(505));
+    cell.schedule(Millis(510));
+    let starts = started(&cell.take_actions());
+    assert_eq!(starts.len(), 1, "the second step waits for the dark worker");
+    assert_eq!(starts[0].task.step.step, 1);
+}
