The roster keeps workers that are missing from the list while they may run tasks

Besides, an unlisted worker that did not answer was waited for 1 s only, though the former leader may have renewed its lease to the end. Ruled out: the new rows for silent workers (the run was started by a leader that reached the worker). Change: an unlisted worker stays in the roster until its leases are over, drained or not; a whole lease is waited for. A roster whose store call was not answered is stored again, so that a worker told silent does not stay so.

--- a/components/cell/src/listing.rs
+++ b/components/cell/src/listing.rs
@@ -9,8 +9,6 @@
 
 /// A former leader renews no leases once its own is over; this is for calls on their way.
 const FORMER_LEADER_MS: Millis = Millis(200);
-/// Time to reach a worker that a former leader used and that is not listed.
-const UNLISTED_MS: Millis = Millis(1_000);
 /// An unlisted worker without runs is forgotten after this time.
 const FORGET_WORKER_MS: Millis = Millis(20_000);
 
@@ -49,8 +47,8 @@
 
     /// A former leader used this worker. Does nothing if it is listed.
     ///
-    /// A worker that is not listed has been silent for the store for some seconds. If it cannot
-    /// be reached from here either, its leases are all but over.
+    /// A worker that is not listed has been silent for the store, but may have answered the
+    /// former leader to the end.
     pub(crate) fn worker_of_former_leader(&mut self, report: WorkerReport, now: Millis) {
         if self.workers.contains_key(&report.id) {
             return;
@@ -58,7 +56,7 @@
         event!("worker.of_former_leader", "worker" => report.id.as_str());
         let mut worker = Worker::new(report, now);
         worker.listed = false;
-        worker.unknown_until_ms = now + UNLISTED_MS;
+        worker.unknown_until_ms = now + self.former_lease_ms();
         self.workers.insert(worker.report.id.clone(), worker);
     }
 
--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -11,7 +11,7 @@
 
 use eventlog::event;
 use serde::{Deserialize, Serialize};
-use types::{Millis, WorkerId};
+use types::{Millis, Resources, WorkerId};
 
 use crate::cell::Cell;
 use crate::worker::{Worker, WorkerReport};
@@ -39,10 +39,9 @@
     pub fn roster(&mut self, now: Millis) -> Vec<RosterRow> {
         let mut rows = Vec::new();
         for worker in self.workers.values_mut() {
-            // One that drained and is no longer listed has left.
-            let draining = worker.report.draining;
-            let matters = worker.listed || (!draining && now < worker.lease_over_ms());
-            if !matters {
+            // One that is missing from the list may still run tasks, also if it drains: it may be
+            // cut off from the store alone.
+            if !worker.listed && now >= worker.lease_over_ms() {
                 continue;
             }
             let silent_left_ms = silent_left_ms(worker, now);
@@ -68,8 +67,8 @@
     }
 
     /// What the former leader stored of a worker. Workers that are listed are known already.
-    pub fn take_roster_row(&mut self, row: &RosterRow, report: WorkerReport, now: Millis) {
-        self.worker_of_former_leader(report, now);
+    pub fn take_roster_row(&mut self, row: &RosterRow, now: Millis) {
+        self.worker_of_former_leader(unlisted_report(row), now);
         let Some(left_ms) = row.silent_left_ms else { return };
         let Some(worker) = self.workers.get_mut(&row.worker) else { return };
         event!("worker.silent_before", "worker" => row.worker.as_str(), "left_ms" => left_ms.0,
@@ -81,6 +80,21 @@
     }
 }
 
+/// Stands for a worker that a former leader used and that is no longer listed. It gets no tasks.
+fn unlisted_report(row: &RosterRow) -> WorkerReport {
+    WorkerReport {
+        id: row.worker.clone(),
+        born_unix_ms: row.life_unix_ms,
+        address: row.address,
+        service: Default::default(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::ZERO,
+        draining: true,
+        leaves_in_ms: None,
+    }
+}
+
 /// Time until the leases of a silent worker are over, rounded up.
 fn silent_left_ms(worker: &Worker, now: Millis) -> Option<Millis> {
     let silent = !worker.reachable && now.since(worker.heard_ms) >= SILENT_AFTER_MS;
--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -28,6 +28,7 @@
         leader_deposed: pick(5, 20),
         lose_batch: pick(6, 100),
         cut: pick(7, 30),
+        unlist: pick(8, 30),
         cancel: pick(0, 20),
         fail_run: pick(1, 40),
         drain: pick(2, 3),
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -413,7 +413,7 @@
         next.worker_listed(report(name), Millis(3_500));
     }
     for row in &roster {
-        next.take_roster_row(row, report(row.worker.as_str()), Millis(3_500));
+        next.take_roster_row(row, Millis(3_500));
     }
     next.look_answered(&seen, Millis(3_500), &shows(Vec::new()), Millis(3_510));
     next.tick(Millis(5_400));
@@ -478,3 +478,39 @@
     assert_eq!(starts.len(), 1, "the second step waits for the dark worker");
     assert_eq!(starts[0].task.step.step, 1);
 }
+
+/// A worker that cannot reach the store but is reached by the leaders, of which two follow each
+/// other.
+#[test]
+fn the_roster_keeps_an_unlisted_worker_while_it_may_run_tasks() {
+    let worker = "w0".parse().expect("worker id");
+    let first_roster = cell_with(1, policy()).roster(Millis(100));
+    let mut second = empty_cell(2);
+    for row in &first_roster {
+        second.take_roster_row(row, Millis(200));
+    }
+    second.look_answered(&worker, Millis(210), &shows(Vec::new()), Millis(215));
+    second.look_order(&worker, true, Millis(220)).expect("a look that renews its lease");
+    let roster = second.roster(Millis(300));
+    assert!(roster.iter().any(|row| row.worker == worker), "the third leader would not look at it");
+}
+
+#[test]
+fn an_unlisted_worker_that_does_not_answer_may_hold_a_whole_lease() {
+    let roster = cell_with(1, policy()).roster(Millis(100));
+    let mut next = empty_cell(2);
+    next.set_policy(policy().into());
+    let record = job("00000000000000b0", "batch", "large", vec![step(1, 2, 500)]);
+    next.restore(record, None, Millis(200));
+    next.worker_listed(report("w1"), Millis(200));
+    for row in &roster {
+        next.take_roster_row(row, Millis(200));
+    }
+    let seen = "w1".parse().expect("worker id");
+    next.look_answered(&seen, Millis(210), &shows(Vec::new()), Millis(215));
+    for now in [1_500, 4_500] {
+        next.tick(Millis(now));
+        next.schedule(Millis(now));
+        assert!(started(&next.take_actions()).is_empty(), "started at {now} ms");
+    }
+}
--- a/components/cell/tests/world/mod.rs
+++ b/components/cell/tests/world/mod.rs
@@ -55,6 +55,8 @@
     pub lose_batch: u32,
     /// Workers that are cut off for some seconds, for each tick.
     pub cut: u32,
+    /// Workers that are missing from the list for some seconds, for each tick.
+    pub unlist: u32,
     /// Jobs that are cancelled, for each tick.
     pub cancel: u32,
     /// Runs that fail.
@@ -258,13 +260,11 @@
         for id in &self.stored_cancels {
             cell.cancelled(id, self.now);
         }
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| worker.listed(self.now)) {
             cell.worker_listed(worker.report(), self.now);
         }
         for row in &self.stored_roster {
-            if let Some(worker) = self.workers.get(&row.worker) {
-                cell.take_roster_row(row, worker.report(), self.now);
-            }
+            cell.take_roster_row(row, self.now);
         }
         // Its lease in the store is over, so it starts nothing more; it notices within a second.
         for term in &mut self.terms {
@@ -449,7 +449,11 @@
         let now = self.now;
         for term in &mut self.terms {
             for worker in self.workers.values().filter(|worker| worker.up) {
-                term.cell.worker_listed(worker.report(), now);
+                if worker.listed(now) {
+                    term.cell.worker_listed(worker.report(), now);
+                } else {
+                    term.cell.worker_unlisted(&worker.id, now);
+                }
             }
             term.cell.tick(now);
         }
@@ -469,6 +473,9 @@
         if self.chance(self.faults.cut) {
             self.cut_one();
         }
+        if self.chance(self.faults.unlist) {
+            self.unlist_one();
+        }
         if self.chance(self.faults.drain) && self.may_lose_one() {
             let id = self.any_worker();
             if let Some(worker) = self.workers.get_mut(&id) {
@@ -515,6 +522,14 @@
         }
     }
 
+    fn unlist_one(&mut self) {
+        let id = self.any_worker();
+        let until = self.now + Millis(self.rng.random_range(500..9_000));
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.unlisted_until_ms = until;
+        }
+    }
+
     fn cancel_one(&mut self) {
         let number = self.rng.random_range(0..self.stored_jobs.len());
         let Some(id) = self.stored_jobs.keys().nth(number).cloned() else { return };
--- a/components/cell/tests/world/worker.rs
+++ b/components/cell/tests/world/worker.rs
@@ -37,6 +37,8 @@
     pub up: bool,
     pub draining: bool,
     pub cut_until_ms: Millis,
+    /// Its entry is missing from the list until then.
+    pub unlisted_until_ms: Millis,
     pub fence: u64,
     pub runs: BTreeMap<TaskKey, Running>,
     /// All that it starts fails, or stands still.
@@ -61,6 +63,7 @@
             up: true,
             draining: false,
             cut_until_ms: Millis(0),
+            unlisted_until_ms: Millis(0),
             fence: 0,
             runs: BTreeMap::new(),
             broken: false,
@@ -90,6 +93,10 @@
         }
     }
 
+    pub fn listed(&self, now: Millis) -> bool {
+        now >= self.unlisted_until_ms
+    }
+
     pub fn reaches(&self, now: Millis) -> bool {
         self.up && now >= self.cut_until_ms
     }
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use cell::{Cell, JobRecord, Progress, RosterRow, WorkerReport};
+use cell::{Cell, JobRecord, Progress, RosterRow};
 use clock::CancellationToken;
 use eventlog::event;
 use libs::tokio;
 use tokio::sync::Notify;
-use types::{JobId, Millis, Resources, WorkerId};
+use types::{JobId, Millis, WorkerId};
 
 use crate::codec::decode;
 use crate::keys;
@@ -232,7 +232,7 @@
         }
         let former = roster.as_ref().and_then(read::<Vec<RosterRow>>);
         for row in former.unwrap_or_default() {
-            cell.take_roster_row(&row, unlisted_report(&row), now);
+            cell.take_roster_row(&row, now);
         }
         leader.roster_revision.set(Some(roster.map_or(0, |item| item.revision)));
         leader.batch_revision.set(batch.map_or(0, |item| item.revision));
@@ -319,18 +319,3 @@
 pub(crate) fn cancelled_id(key: &str) -> Option<JobId> {
     key.strip_prefix(keys::CANCELS)?.parse().ok()
 }
-
-/// Stands for a worker that a former leader used and that is no longer listed.
-fn unlisted_report(row: &RosterRow) -> WorkerReport {
-    WorkerReport {
-        id: row.worker.clone(),
-        born_unix_ms: row.life_unix_ms,
-        address: row.address,
-        service: Default::default(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: Resources::ZERO,
-        draining: true,
-        leaves_in_ms: None,
-    }
-}
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -165,8 +165,9 @@
             leader.cell.borrow_mut().roster_stored(&roster);
             *known = roster;
         } else {
-            // It may have been stored, so the revision is read before the next one.
+            // It may have been stored, so it is stored again, after its revision is read.
             leader.roster_revision.set(None);
+            known.clear();
         }
     }
 
