--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -15,7 +15,10 @@
 const END_MS: Millis = Millis(60_000);
 
 /// Seeds that once broke a rule, with the cause.
-const KEPT: [u64; 0] = [];
+const KEPT: [u64; 1] = [
+    // Two leaders in a row with a worker that is missing from the list: the roster forgot it.
+    274,
+];
 
 fn faults(seed: u64) -> Faults {
     let pick = |bit: u64, chance: u32| if seed >> bit & 1 == 1 { chance } else { 0 };
@@ -28,7 +31,7 @@
         leader_deposed: pick(5, 20),
         lose_batch: pick(6, 100),
         cut: pick(7, 30),
-        unlist: pick(8, 30),
+        unlist: pick(8, 30).max(pick(5, 15)),
         cancel: pick(0, 20),
         fail_run: pick(1, 40),
         drain: pick(2, 3),
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -139,6 +139,10 @@
     /// Stores what the next leader must know of workers. Each roster is conditional on the one
     /// before, so that a lost one that is carried out late fails.
     async fn store_roster(&self, leader: &Leader, known: &mut Vec<RosterRow>) {
+        if self.store_failures.get() > 0 {
+            // A roster that cannot be stored must not keep workers from work.
+            return;
+        }
         let roster = leader.cell.borrow_mut().roster(clock::now());
         if roster == *known {
             return;
--- a/components/cluster/tests/world/mod.rs
+++ b/components/cluster/tests/world/mod.rs
@@ -24,9 +24,9 @@
 const WORKER_CALL_MS: Millis = Millis(3);
 
 /// A call without an answer ends after this time, longer than any test.
-const NO_ANSWER_MS: Millis = Millis(60_000);
+const NO_ANSWER_MS: Millis = Millis(20_000);
 /// Longer than any test, so that no lead ends by itself.
-const LEADER_LEASE_MS: Millis = Millis(60_000);
+const LEADER_LEASE_MS: Millis = Millis(20_000);
 
 /// A stored item with its lease, 0 for none.
 type Stored = (Item, u64);
@@ -42,6 +42,12 @@
     ended: RefCell<BTreeMap<WorkerId, Vec<EndedRun>>>,
     /// Looks that get no answer, counted down.
     pub lost_looks: Cell<u32>,
+    /// The store refuses all writes.
+    pub store_is_down: Cell<bool>,
+    /// No worker answers a look.
+    pub workers_are_dark: Cell<bool>,
+    /// Looks that renewed a lease.
+    pub renewals: Cell<u32>,
     /// Keys written by each transaction that was carried out.
     pub commits: RefCell<Vec<Vec<String>>>,
 }
@@ -137,6 +143,9 @@
     fn get<'a>(&'a self, key: &'a str) -> Later<'a, StoreResult<Option<Item>>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             self.0.drop_lapsed();
             Ok(self.0.items.borrow().get(key).map(|(item, _)| item.clone()))
         })
@@ -145,6 +154,9 @@
     fn range<'a>(&'a self, prefix: &'a str) -> Later<'a, StoreResult<(Vec<Item>, u64)>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             let items = self.0.items.borrow();
             let found = items.values().filter(|(item, _)| item.key.starts_with(prefix));
             Ok((found.map(|(item, _)| item.clone()).collect(), self.0.revision.get()))
@@ -177,6 +189,9 @@
     fn commit<'a>(&'a self, transaction: &'a Transaction) -> Later<'a, StoreResult<Commit>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             self.0.commit(transaction)
         })
     }
@@ -191,6 +206,9 @@
     fn renew(&self, lease: u64) -> Later<'_, StoreResult<()>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             self.0.drop_lapsed();
             let mut leases = self.0.leases.borrow_mut();
             let (ttl_ms, until_ms) = leases.get_mut(&lease).ok_or(StoreError::LeaseGone)?;
@@ -266,6 +284,12 @@
                 pause(NO_ANSWER_MS).await;
                 return LookAnswer::Failed;
             }
+            if self.0.workers_are_dark.get() {
+                return LookAnswer::Failed;
+            }
+            if order.deadline_ms.is_some() {
+                self.0.renewals.set(self.0.renewals.get() + 1);
+            }
             let ended = self.0.ended.borrow();
             let ended = ended.get(worker).map_or(&[][..], Vec::as_slice);
             LookAnswer::Seen(Box::new(Look {
@@ -294,6 +318,9 @@
     fn fetch(&self) -> Later<'_, StoreResult<Option<RawRules>>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             Ok(Some(RawRules { revision: 1, text: Vec::new() }))
         })
     }
