--- a/components/cluster/tests/world/mod.rs
+++ b/components/cluster/tests/world/mod.rs
@@ -241,6 +241,9 @@
     ) -> Later<'_, StoreResult<(Vec<WorkerChange>, u64)>> {
         Box::pin(async move {
             pause(STORE_CALL_MS).await;
+            if self.0.store_is_down.get() {
+                return Err(StoreError::NotDone);
+            }
             let workers = self.0.workers.borrow().clone();
             let listed = |report| WorkerChange::Listed(Box::new(report));
             Ok((workers.into_iter().map(listed).collect(), 0))
