--- a/components/cluster/tests/world/mod.rs
+++ b/components/cluster/tests/world/mod.rs
@@ -134,6 +134,14 @@
     tokio::time::sleep(ms.to_duration()).await;
 }
 
+impl Reach {
+    /// The way of a call to the store.
+    async fn call_store(&self) -> StoreResult<()> {
+        pause(STORE_CALL_MS).await;
+        if self.0.store_is_down.get() { Err(StoreError::NotDone) } else { Ok(()) }
+    }
+}
+
 /// An address at which nobody listens.
 pub fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
@@ -142,10 +150,7 @@
 impl Store for Reach {
     fn get<'a>(&'a self, key: &'a str) -> Later<'a, StoreResult<Option<Item>>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             self.0.drop_lapsed();
             Ok(self.0.items.borrow().get(key).map(|(item, _)| item.clone()))
         })
@@ -153,10 +158,7 @@
 
     fn range<'a>(&'a self, prefix: &'a str) -> Later<'a, StoreResult<(Vec<Item>, u64)>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             let items = self.0.items.borrow();
             let found = items.values().filter(|(item, _)| item.key.starts_with(prefix));
             Ok((found.map(|(item, _)| item.clone()).collect(), self.0.revision.get()))
@@ -188,27 +190,21 @@
 
     fn commit<'a>(&'a self, transaction: &'a Transaction) -> Later<'a, StoreResult<Commit>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             self.0.commit(transaction)
         })
     }
 
     fn lease(&self, ttl_ms: Millis) -> Later<'_, StoreResult<u64>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
+            self.call_store().await?;
             Ok(self.0.make_lease(ttl_ms))
         })
     }
 
     fn renew(&self, lease: u64) -> Later<'_, StoreResult<()>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             self.0.drop_lapsed();
             let mut leases = self.0.leases.borrow_mut();
             let (ttl_ms, until_ms) = leases.get_mut(&lease).ok_or(StoreError::LeaseGone)?;
@@ -219,7 +215,7 @@
 
     fn end_lease(&self, lease: u64) -> Later<'_, StoreResult<()>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
+            self.call_store().await?;
             self.0.leases.borrow_mut().remove(&lease);
             Ok(())
         })
@@ -229,7 +225,7 @@
 impl Directory for Reach {
     fn list(&self) -> Later<'_, StoreResult<(Vec<WorkerReport>, u64)>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
+            self.call_store().await?;
             Ok((self.0.workers.borrow().clone(), 0))
         })
     }
@@ -240,10 +236,7 @@
         _wait_ms: Millis,
     ) -> Later<'_, StoreResult<(Vec<WorkerChange>, u64)>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             let workers = self.0.workers.borrow().clone();
             let listed = |report| WorkerChange::Listed(Box::new(report));
             Ok((workers.into_iter().map(listed).collect(), 0))
@@ -320,10 +313,7 @@
 impl Configuration for Reach {
     fn fetch(&self) -> Later<'_, StoreResult<Option<RawRules>>> {
         Box::pin(async move {
-            pause(STORE_CALL_MS).await;
-            if self.0.store_is_down.get() {
-                return Err(StoreError::NotDone);
-            }
+            self.call_store().await?;
             Ok(Some(RawRules { revision: 1, text: Vec::new() }))
         })
     }
