--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -9,6 +9,7 @@
 
 use crate::action::Action;
 use crate::advice::Callers;
+use crate::budget::RepeatBudget;
 use crate::job::{Job, Step};
 use crate::model::{Final, JobRecord, Policy, Progress, QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::worker::Worker;
@@ -44,6 +45,8 @@
     pub(crate) logged_unknown_ms: Millis,
     /// Room that urgent steps lack in this round of placement.
     pub(crate) wanted_by_urgent: Resources,
+    /// Starts without an answer that may be sent again.
+    pub(crate) start_repeats: RepeatBudget,
     /// Starts may be ordered.
     pub(crate) may_start: bool,
     /// Something changed since the last scheduling.
@@ -72,6 +75,7 @@
             recovering: true,
             logged_unknown_ms: Millis(0),
             wanted_by_urgent: Resources::ZERO,
+            start_repeats: RepeatBudget::default(),
             may_start: true,
             changed: true,
             shares: crate::order::Shares::default(),
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -6,6 +6,7 @@
 mod action;
 mod advice;
 mod batch;
+mod budget;
 mod cell;
 mod drain;
 mod ends;
@@ -26,6 +27,7 @@
 
 pub use action::{Action, LookOrder, PaceOrder, Refusal, StartAnswer, StartOrder, StopOrder};
 pub use batch::{Batch, StoredEnd};
+pub use budget::RepeatBudget;
 pub use cell::{Cell, CellSettings};
 pub use looks::{ActiveRun, EndedRun, Ending, Look};
 pub use model::{
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -49,6 +49,7 @@
             "free" => worker.free().to_string(), "heard_ms_ago" => now.since(worker.heard_ms).0);
         add_use(&mut self.used_by_team, &run);
         worker.add_run(key.clone(), run);
+        self.start_repeats.called();
         self.actions.push(Action::Start(Box::new(StartOrder {
             worker: worker_id.clone(),
             address: worker.report.address,
@@ -123,7 +124,8 @@
                 "worker" => worker_id.as_str(), "answer" => format!("{answer:?}"),
                 "resends" => run.resends);
         }
-        if answer == StartAnswer::Unanswered && run.resends < MAX_RESENDS {
+        let again = answer == StartAnswer::Unanswered && run.resends < MAX_RESENDS;
+        if again && self.start_repeats.take() {
             run.resends += 1;
             self.actions.push(Action::Start(Box::new(order.clone())));
             return;
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -4,7 +4,7 @@
 
 use cell::{
     Action, ActiveRun, AdvicePolicy, Cell, CellSettings, EndedRun, Ending, Final, JobRecord, Look,
-    Policy, Refusal, StartAnswer, StartOrder, StepSpec, WorkerReport,
+    Policy, Refusal, RepeatBudget, StartAnswer, StartOrder, StepSpec, WorkerReport,
 };
 use types::{Millis, Resources};
 use world::{Faults, Worker, World, job, policy, task};
@@ -514,3 +514,37 @@
         assert!(started(&next.take_actions()).is_empty(), "started at {now} ms");
     }
 }
+
+/// Every call is late, as when the leader has no processor time left.
+#[test]
+fn repeats_add_a_tenth_to_the_load_when_everything_is_late() {
+    let mut budget = RepeatBudget::default();
+    let repeated = (0..10_000)
+        .filter(|_| {
+            budget.called();
+            budget.take()
+        })
+        .count();
+    assert!(repeated <= 1_050, "{repeated} of 10,000 calls were repeated");
+}
+
+/// Starts whose answers are all late are repeated a few times in all, not each three times.
+#[test]
+fn starts_are_not_multiplied_when_all_answers_are_late() {
+    let mut cell = cell_with(40, policy());
+    for number in 0..300 {
+        let id = format!("{number:016x}");
+        cell.submitted(job(&id, "batch", "large", vec![step(1, 1, 500)]), Millis(10));
+    }
+    cell.schedule(Millis(10));
+    let mut waiting = started(&cell.take_actions());
+    let first = waiting.len();
+    let mut again = 0;
+    while let Some(order) = waiting.pop() {
+        cell.start_answered(&order, StartAnswer::Unanswered, Millis(400));
+        let repeated = started(&cell.take_actions());
+        again += repeated.len();
+        waiting.extend(repeated);
+    }
+    assert!(again <= first / 3, "{again} repeats of {first} starts");
+}
--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -45,7 +45,7 @@
                 }
                 Err(error) => event!("leader.unreadable", "error" => error.to_string()),
             },
-            Ok(None) if self.stopping.is_cancelled() => {}
+            Ok(None) if self.stopping.is_cancelled() || self.rests() => {}
             Ok(None) => self.campaign(NO_LEADER).await,
             Err(_noted) => {
                 if clock::now().since(self.store_ms.get()) > ASK_PEERS_MS {
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use cell::{Cell, JobRecord, Progress, RosterRow};
+use cell::{Cell, JobRecord, Progress, RepeatBudget, RosterRow};
 use clock::CancellationToken;
 use eventlog::event;
 use libs::tokio;
@@ -20,6 +20,9 @@
 const RENEWALS_PER_LEASE: u64 = 4;
 /// The lease counts as held until this long before its end, for the way of orders.
 const LEASE_MARGIN_MS: Millis = Millis(150);
+/// Longest time to store what is left at the end of a term. The next leader reads the rest from
+/// the workers, which keep ends until they are acknowledged.
+const HAND_OVER_MS: Millis = Millis(300);
 /// Pause after a failed attempt to load.
 const LOAD_RETRY_MS: Millis = Millis(100);
 /// Period of looking for a stronger process.
@@ -46,6 +49,8 @@
     pub(crate) batch_revision: StdCell<u64>,
     /// Revision of the stored roster; none if it is not known.
     pub(crate) roster_revision: StdCell<Option<u64>>,
+    /// Looks without an answer that may be sent again.
+    pub(crate) look_repeats: RefCell<RepeatBudget>,
     /// Workers with a loop of looks.
     pub(crate) looked_at: RefCell<BTreeSet<WorkerId>>,
     pub(crate) changed: Notify,
@@ -78,6 +83,7 @@
             workers_after: StdCell::new(0),
             batch_revision: StdCell::new(0),
             roster_revision: StdCell::new(None),
+            look_repeats: RefCell::default(),
             looked_at: RefCell::default(),
             changed: Notify::new(),
             to_store: Notify::new(),
@@ -124,7 +130,12 @@
         let Some(leader) = self.leading.borrow().clone() else { return };
         if leader.loaded.get() {
             leader.cell.borrow_mut().set_may_start(false);
-            self.store_rest(&leader).await;
+            // No more looks, so that the changes come to an end.
+            leader.token.cancel();
+            let stored = self.store_rest(&leader);
+            if tokio::time::timeout(HAND_OVER_MS.to_duration(), stored).await.is_err() {
+                event!("leader.rest_unstored", "epoch" => leader.epoch);
+            }
         }
         self.drop_lead(why);
         // The lease ends by itself if this call is lost.
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 mod front;
 mod intake;
 mod keys;
+mod lag;
 mod leader;
 mod looks;
 mod node;
@@ -21,6 +22,7 @@
 
 pub use comeback::retry_after_s;
 pub use front::{Accepted, Cancelled, Found};
+pub use lag::LagWatch;
 pub use node::{Node, NodeSettings};
 pub use ports::{
     Access, Advice, Advisor, Change, Commit, Configuration, Directory, Item, Later, LookAnswer,
--- a/components/cluster/src/looks.rs
+++ b/components/cluster/src/looks.rs
@@ -70,13 +70,19 @@
     }
 
     /// Sends a look, and sends it again if the answer is late. The first usable answer counts.
-    async fn look_hedged(&self, id: &WorkerId, order: &LookOrder) -> LookAnswer {
+    async fn look_hedged(&self, leader: &Leader, id: &WorkerId, order: &LookOrder) -> LookAnswer {
+        leader.look_repeats.borrow_mut().called();
         let mut first = self.ports.workers.look(id, order);
         let late = tokio::time::sleep((order.wait_ms + HEDGE_MS).to_duration());
         tokio::select! {
             answer = &mut first => return answer,
-            () = late => self.metrics.count("looks_hedged"),
+            () = late => {}
         }
+        if !leader.look_repeats.borrow_mut().take() {
+            self.metrics.count("looks_not_hedged");
+            return first.await;
+        }
+        self.metrics.count("looks_hedged");
         let mut second = self.ports.workers.look(id, order);
         tokio::select! {
             answer = &mut first => match answer {
@@ -99,7 +105,7 @@
     ) -> Option<bool> {
         let sent_ms = clock::now();
         let order = leader.cell.borrow_mut().look_order(id, wait, sent_ms)?;
-        let answer = self.look_hedged(id, &order).await;
+        let answer = self.look_hedged(leader, id, &order).await;
         self.metrics.count("looks");
         let now = clock::now();
         let mut cell = leader.cell.borrow_mut();
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -14,6 +14,7 @@
 use types::Millis;
 use web::Client;
 
+use crate::lag::LagWatch;
 use crate::leader::Leader;
 use crate::peers::{Answer, Hello, LeaderInfo, Message, Peer};
 use crate::ports::{Ports, RawRules, Rules, StoreError};
@@ -31,6 +32,9 @@
 const RULES_STALE_MS: Millis = Millis(6_500);
 /// A gap between two ticks that shows that the process stood still.
 const PAUSE_MS: Millis = Millis(700);
+/// A process that was too slow to lead leaves the lead to others for this long: machines turn slow
+/// for some seconds.
+const REST_MS: Millis = Millis(8_000);
 /// Period of the clock watch.
 const TICK_MS: Millis = Millis(100);
 /// The platform checks readiness each second and takes two misses for down.
@@ -90,6 +94,8 @@
     pub(crate) store_failures: StdCell<u32>,
     pub(crate) pending_seen: RefCell<BTreeMap<types::QueueId, (u64, Millis)>>,
     pub(crate) stopping: CancellationToken,
+    /// Does not take the lead before this time.
+    pub(crate) rests_until_ms: StdCell<Millis>,
     /// When the store was first seen without a leader.
     pub(crate) leaderless_ms: StdCell<Option<Millis>>,
 }
@@ -113,6 +119,7 @@
             store_failures: StdCell::default(),
             pending_seen: RefCell::default(),
             stopping: CancellationToken::new(),
+            rests_until_ms: StdCell::default(),
             leaderless_ms: StdCell::default(),
         })
     }
@@ -305,13 +312,34 @@
 
     async fn watch_clock(self: Rc<Self>) {
         let mut last = clock::now();
+        let mut lag = LagWatch::default();
         loop {
             tokio::time::sleep(TICK_MS.to_duration()).await;
             let now = clock::now();
             if now.since(last) > PAUSE_MS {
                 event!("process.paused", "for_ms" => now.since(last).0, "leads" => self.leads());
             }
+            let late_by_ms = now.since(last + TICK_MS);
             last = now;
+            if !self.leads() {
+                lag.reset();
+            } else if lag.ticked(late_by_ms) && self.may_rest(now) {
+                event!("leader.too_slow", "late_by_ms" => late_by_ms.0);
+                self.rests_until_ms.set(now + REST_MS);
+                self.step_down("short of processor time").await;
+            }
         }
     }
+
+    /// Whether there is another process to lead as well as this one, and this one has not handed
+    /// over lately.
+    fn may_rest(&self, now: Millis) -> bool {
+        let as_strong = |peer: &Peer| peer.strength >= self.settings.strength;
+        now >= self.rests_until_ms.get() + REST_MS && self.live_peers().iter().any(as_strong)
+    }
+
+    /// Whether this process has handed over the lead lately for want of processor time.
+    pub(crate) fn rests(&self) -> bool {
+        clock::now() < self.rests_until_ms.get()
+    }
 }
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -14,6 +14,9 @@
 const RULES_PERIOD_MS: Millis = Millis(500);
 /// Period before the first configuration.
 const FIRST_PERIOD_MS: Millis = Millis(100);
+/// Period while the store does not answer. Callers are refused until it is heard again, and one
+/// that is refused just after the end of an outage stays away for seconds.
+const OUTAGE_PERIOD_MS: Millis = Millis(150);
 /// Longest wait for the rules of another process.
 const RULES_TIMEOUT_MS: Millis = Millis(500);
 /// Without the store for this long, other processes are asked.
@@ -36,9 +39,17 @@
                     }
                 }
             }
-            let first = self.rules.borrow().rules.is_none();
-            let period = if first { FIRST_PERIOD_MS } else { RULES_PERIOD_MS };
-            tokio::time::sleep(period.to_duration()).await;
+            tokio::time::sleep(self.rules_period_ms().to_duration()).await;
+        }
+    }
+
+    fn rules_period_ms(&self) -> Millis {
+        if self.rules.borrow().rules.is_none() {
+            FIRST_PERIOD_MS
+        } else if self.store_failures.get() > 0 {
+            OUTAGE_PERIOD_MS
+        } else {
+            RULES_PERIOD_MS
         }
     }
 
