At most two processes rest from leading; a resting one is not yielded to

Cause: with a load that is too high for any leader the lead would have gone round every few seconds. Found by reading.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -64,9 +64,13 @@
         now.since(since) < STRONGER_FIRST_MS && stronger
     }
 
-    /// A process heard lately that is much stronger than this one.
+    /// A process heard lately that is much stronger than this one and would lead.
     pub(crate) fn stronger_peer(&self) -> Option<Peer> {
-        self.live_peers().into_iter().find(|peer| self.is_much_stronger(peer.strength))
+        let peers = self.peers.borrow();
+        let mut candidates = self.live_states(&peers).filter(|state| !state.rests);
+        candidates
+            .find(|state| self.is_much_stronger(state.peer.strength))
+            .map(|state| state.peer.clone())
     }
 
     fn is_much_stronger(&self, strength: u32) -> bool {
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -32,9 +32,11 @@
 const RULES_STALE_MS: Millis = Millis(6_500);
 /// A gap between two ticks that shows that the process stood still.
 const PAUSE_MS: Millis = Millis(700);
-/// A process that was too slow to lead leaves the lead to others for this long: machines turn slow
-/// for some seconds.
-const REST_MS: Millis = Millis(8_000);
+/// A process that was too slow to lead leaves the lead to others for this long.
+const REST_MS: Millis = Millis(30_000);
+/// With this many processes resting, the load is too high for any of them, and a hand-over would
+/// only cost time.
+const MOST_RESTING: usize = 2;
 /// Period of the clock watch.
 const TICK_MS: Millis = Millis(100);
 /// The platform checks readiness each second and takes two misses for down.
@@ -72,6 +74,8 @@
     pub(crate) heard_ms: Millis,
     /// When the store last answered it.
     pub(crate) store_ms: Millis,
+    /// It was too slow to lead lately.
+    pub(crate) rests: bool,
 }
 
 /// One process of the cluster.
@@ -201,18 +205,21 @@
             rules_age_ms: now.since(rules.confirmed_ms),
             store_age_ms: now.since(self.store_ms.get()),
             peers: self.live_peers(),
+            rests: self.rests(),
         }
     }
 
     /// Processes heard lately, without this one.
     pub(crate) fn live_peers(&self) -> Vec<Peer> {
+        self.live_states(&self.peers.borrow()).map(|state| state.peer.clone()).collect()
+    }
+
+    pub(crate) fn live_states<'a>(
+        &self,
+        peers: &'a BTreeMap<CompactString, PeerState>,
+    ) -> impl Iterator<Item = &'a PeerState> + use<'a> {
         let now = clock::now();
-        let peers = self.peers.borrow();
-        peers
-            .values()
-            .filter(|state| now.since(state.heard_ms) < PEER_TIMEOUT_MS)
-            .map(|state| state.peer.clone())
-            .collect()
+        peers.values().filter(move |state| now.since(state.heard_ms) < PEER_TIMEOUT_MS)
     }
 
     /// Takes in what another process told of itself.
@@ -222,6 +229,7 @@
             peer: hello.from.clone(),
             heard_ms: now,
             store_ms: now - hello.store_age_ms,
+            rests: hello.rests,
         };
         self.peers.borrow_mut().insert(hello.from.name.clone(), state);
         for peer in &hello.peers {
@@ -230,6 +238,7 @@
                     peer: peer.clone(),
                     heard_ms: Millis(0),
                     store_ms: Millis(0),
+                    rests: false,
                 });
             }
         }
@@ -323,7 +332,7 @@
             last = now;
             if !self.leads() {
                 lag.reset();
-            } else if lag.ticked(late_by_ms) && self.may_rest(now) {
+            } else if lag.ticked(late_by_ms) && self.may_rest() {
                 event!("leader.too_slow", "late_by_ms" => late_by_ms.0);
                 self.rests_until_ms.set(now + REST_MS);
                 self.step_down("short of processor time").await;
@@ -331,11 +340,13 @@
         }
     }
 
-    /// Whether there is another process to lead as well as this one, and this one has not handed
-    /// over lately.
-    fn may_rest(&self, now: Millis) -> bool {
-        let as_strong = |peer: &Peer| peer.strength >= self.settings.strength;
-        now >= self.rests_until_ms.get() + REST_MS && self.live_peers().iter().any(as_strong)
+    /// Whether another process can lead as well as this one, and few have handed over lately.
+    fn may_rest(&self) -> bool {
+        let peers = self.peers.borrow();
+        let (resting, ready): (Vec<&PeerState>, Vec<&PeerState>) =
+            self.live_states(&peers).partition(|state| state.rests);
+        let as_strong = |state: &&PeerState| state.peer.strength >= self.settings.strength;
+        resting.len() < MOST_RESTING && ready.iter().any(as_strong)
     }
 
     /// Whether this process has handed over the lead lately for want of processor time.
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -60,6 +60,8 @@
     pub(crate) store_age_ms: Millis,
     /// Processes it has heard lately.
     pub(crate) peers: Vec<Peer>,
+    /// It has handed over the lead lately because it was too slow.
+    pub(crate) rests: bool,
 }
 
 /// A message.
