--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -85,7 +85,7 @@
         let dir = programs.join("testbed").join(format!("{name}-{}", std::process::id()));
         fs::remove_dir_all(&dir).ok();
         fs::create_dir_all(&dir).map_err(|error| Error::File(dir.display().to_string(), error))?;
-        let around = Surroundings { kv: free_address()?, backends: free_address()? };
+        let around = Surroundings { kv: free_address(), backends: free_address() };
         let platform = start_platform(&programs, &dir, around.kv)?;
         let backends = start_backends(&programs, &dir, around.backends, size)?;
         let mut deployment = Self {
@@ -112,11 +112,11 @@
         create_authority(&certs)?;
         let mut listens = Vec::new();
         for _ in 0..2 * size.vms {
-            listens.push(free_address()?);
+            listens.push(free_address());
         }
         for vm in 0..size.vms {
             let domain = &size.domains[vm % size.domains.len()];
-            let http = free_address()?;
+            let http = free_address();
             self.entry_addresses.push(http);
             for (role, listen, http) in
                 [("entry", listens[2 * vm], Some(http)), ("scheduler", listens[2 * vm + 1], None)]
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -13,6 +13,7 @@
 pub use client::{Client, HttpAnswer};
 pub use deployment::{Deployment, Size, binaries_dir};
 pub use load::{Load, LoadReport, LoadSettings, Told};
+pub use ports::free_address;
 pub use process::{Process, Usage};
 pub use rules::{OPERATOR, TestKey, vandermolen_rules};
 pub use truth::{TruthRun, TruthSummary};
