--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -92,6 +92,8 @@
     pub(crate) incarnation: u64,
     pub(crate) secret: RefCell<Option<String>>,
     pub(crate) rules: RefCell<LocalRules>,
+    /// Whether the rules were last logged as stale.
+    pub(crate) rules_were_stale: StdCell<bool>,
     pub(crate) leader: RefCell<Option<LeaderInfo>>,
     pub(crate) leadership: RefCell<Option<Rc<Leader>>>,
     pub(crate) peers: RefCell<BTreeMap<CompactString, PeerState>>,
@@ -119,6 +121,7 @@
             incarnation: rand::random(),
             secret: RefCell::default(),
             rules: RefCell::default(),
+            rules_were_stale: StdCell::default(),
             leader: RefCell::default(),
             leadership: RefCell::default(),
             peers: RefCell::default(),
@@ -330,6 +333,7 @@
         let mut lag = LagDetector::default();
         loop {
             tokio::time::sleep(TICK_MS.to_duration()).await;
+            self.log_rules_state();
             let now = clock::now();
             if now.since(last) > STALL_MS {
                 event!("process.paused", "for_ms" => now.since(last).0,
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -195,7 +195,11 @@
             }
             Message::Accept(record) => Answer::Accepted(self.store_job(&record).await),
             Message::Cancel(id) => Answer::Cancelled(self.store_cancel(&id).await),
-            Message::Rules => Answer::Rules(self.rules.borrow().raw.clone()),
+            Message::Rules => {
+                let raw = self.rules.borrow().raw.clone();
+                self.metrics.add("rules_sent_bytes", raw.text.len() as u64);
+                Answer::Rules(raw)
+            }
         }
     }
 
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -19,6 +19,8 @@
 const OUTAGE_PERIOD_MS: Millis = Millis(150);
 /// Timeout of a request for a peer's rules.
 const RULES_TIMEOUT_MS: Millis = Millis(500);
+/// Source of rules that the store has sent, in log lines.
+const STORE_SOURCE: &str = "store";
 /// Time without an answer from the store after which peers are asked for their rules.
 const ASK_PEERS_AFTER_MS: Millis = Millis(900);
 
@@ -28,11 +30,13 @@
             let sent_ms = clock::now();
             match self.store_result(self.ports.configuration.fetch().await) {
                 Ok(Some(raw)) => {
+                    self.log_received_rules(&raw, STORE_SOURCE, sent_ms);
                     self.apply_rules(raw);
                     self.confirm_rules(sent_ms);
                 }
                 Ok(None) => {}
-                Err(_recorded) => {
+                Err(error) => {
+                    self.log_rules_not_received(&error.to_string(), STORE_SOURCE, sent_ms);
                     let silent_ms = clock::now().since(self.store_answered_ms.get());
                     if silent_ms > ASK_PEERS_AFTER_MS {
                         self.contact_peers().await;
@@ -53,6 +57,37 @@
         }
     }
 
+    /// Counts the received text, and logs it if it is a new version.
+    fn log_received_rules(&self, raw: &RawRules, source: &str, sent_ms: Millis) {
+        self.metrics.add("rules_received_bytes", raw.text.len() as u64);
+        let took_ms = clock::now().since(sent_ms);
+        self.metrics.time_ms("rules_received_ms", took_ms.0);
+        if raw.revision > self.rules.borrow().raw.revision {
+            event!("rules.received", "revision" => raw.revision, "source" => source,
+                "bytes" => raw.text.len(), "took_ms" => took_ms.0);
+        }
+    }
+
+    fn log_rules_not_received(&self, error: &str, source: &str, sent_ms: Millis) {
+        self.metrics.count("rules_not_received");
+        event!("rules.not_received", "source" => source, "error" => error,
+            "took_ms" => clock::now().since(sent_ms).0,
+            "revision" => self.rules.borrow().raw.revision);
+    }
+
+    /// Logs when the rules become too old to be used, and when they are confirmed again.
+    pub(crate) fn log_rules_state(&self) {
+        let Some(rules) = self.rules() else { return };
+        let age_ms = clock::now().since(self.rules.borrow().confirmed_ms);
+        self.metrics.gauge("rules_age_ms", age_ms.0);
+        self.metrics.gauge("rules_version", rules.policy.version);
+        let stale = !self.has_fresh_rules();
+        if self.rules_were_stale.replace(stale) != stale {
+            let event = if stale { "rules.stale" } else { "rules.confirmed" };
+            event!(event, "version" => rules.policy.version, "age_ms" => age_ms.0);
+        }
+    }
+
     fn confirm_rules(&self, at: Millis) {
         let mut rules = self.rules.borrow_mut();
         rules.confirmed_ms = rules.confirmed_ms.max(at);
@@ -92,12 +127,17 @@
             && let Some(node) = self.this.upgrade()
         {
             let from = heartbeat.from.address;
+            let source = heartbeat.from.name.clone();
             let age_ms = heartbeat.rules_age_ms;
             tokio::task::spawn_local(async move {
-                let answer = node.send(from, &Message::Rules, RULES_TIMEOUT_MS).await;
-                if let Ok(Answer::Rules(raw)) = answer {
-                    node.apply_rules(raw);
-                    node.confirm_rules(now - age_ms);
+                match node.send(from, &Message::Rules, RULES_TIMEOUT_MS).await {
+                    Ok(Answer::Rules(raw)) => {
+                        node.log_received_rules(&raw, &source, now);
+                        node.apply_rules(raw);
+                        node.confirm_rules(now - age_ms);
+                    }
+                    Ok(_other) => node.log_rules_not_received("unexpected answer", &source, now),
+                    Err(error) => node.log_rules_not_received(&error.to_string(), &source, now),
                 }
             });
         }
