cluster, platform: the configuration is watched, not read again and again

Cause: each process read the whole configuration twice a second, changed or not. At 1,445 routes that is half a link of 10 Mbit/s, and with 2,845 most of the link is taken before anything else is sent. Class: periodic work whose cost grows with the size of a whole, although nothing has changed.

After a lost history the text is read once. A watch sends every version since its revision; while peers report a newer one than the store has sent, the newest is read instead, so that a series of large versions does not queue up on a slow link.

--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -68,6 +68,12 @@
     pub(crate) rules: Option<Rules>,
     /// When they were last confirmed to be the newest.
     pub(crate) confirmed_ms: Millis,
+    /// Newest revision that the store has sent to this process.
+    pub(crate) read_revision: u64,
+    /// Newest revision that a peer has reported.
+    pub(crate) reported_revision: u64,
+    /// The last call to the store for them failed.
+    pub(crate) store_failed: bool,
 }
 
 /// Last known state of a peer.
--- a/components/cluster/src/ports.rs
+++ b/components/cluster/src/ports.rs
@@ -210,8 +210,16 @@
 
 /// The operators' configuration.
 pub trait Configuration {
-    /// Reads the newest version; `None` if there is no configuration yet.
-    fn fetch(&self) -> LocalBoxFuture<'_, StoreResult<Option<RawRules>>>;
+    /// Reads the newest version, `None` if there is no configuration yet, and the revision from
+    /// which to wait for changes.
+    fn fetch(&self) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>>;
+    /// Waits for versions written after a revision. Returns the newest of them, `None` if there is
+    /// none, and the revision from which to continue.
+    fn changes(
+        &self,
+        after: u64,
+        wait_ms: Millis,
+    ) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>>;
     /// Parses a configuration text.
     fn parse(&self, text: &[u8]) -> errors::Result<Rules>;
 }
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -8,15 +8,15 @@
 
 use crate::node::Node;
 use crate::peers::{Answer, Heartbeat, Message};
-use crate::ports::RawRules;
+use crate::ports::{RawRules, StoreError, StoreResult};
 
-/// Polling period of the configuration: a change must be in force within 2 s.
-const RULES_PERIOD_MS: Millis = Millis(500);
-/// Polling period until the first configuration is loaded.
-const INITIAL_PERIOD_MS: Millis = Millis(100);
-/// Polling period while the store does not answer. Callers are refused until the store's recovery
-/// is noticed, and a caller refused just after the end of an outage does not retry for seconds.
-const OUTAGE_PERIOD_MS: Millis = Millis(150);
+/// Longest time that one watch call waits for a change. Each answer confirms the rules.
+const WATCH_TIMEOUT_MS: Millis = Millis(500);
+/// Delay between two watches, so that a store that answers at once cannot make the loop spin.
+const WATCH_PERIOD_MS: Millis = Millis(20);
+/// Delay after a failed call. Callers are refused until the store's recovery is noticed, and a
+/// caller refused just after the end of an outage does not retry for seconds.
+const RETRY_DELAY_MS: Millis = Millis(150);
 /// Timeout of a request for a peer's rules.
 const RULES_TIMEOUT_MS: Millis = Millis(500);
 /// Source of rules that the store has sent, in log lines.
@@ -25,38 +25,65 @@
 const ASK_PEERS_AFTER_MS: Millis = Millis(900);
 
 impl Node {
+    /// Follows the configuration in the store. Its text is sent only when it has changed.
     pub(crate) async fn follow_rules(self: Rc<Self>) {
+        let mut watched_from = None;
         loop {
             let sent_ms = clock::now();
-            match self.store_result(self.ports.configuration.fetch().await) {
-                Ok(Some(raw)) => {
-                    self.log_received_rules(&raw, STORE_SOURCE, sent_ms);
-                    self.apply_rules(raw);
-                    self.confirm_rules(sent_ms);
+            let answer = self.store_result(self.next_rules(watched_from).await);
+            self.rules.borrow_mut().store_failed = answer.is_err();
+            match answer {
+                Ok((newer, at)) => {
+                    watched_from = Some(at);
+                    self.rules_answered(newer, sent_ms);
+                    tokio::time::sleep(WATCH_PERIOD_MS.to_duration()).await;
                 }
-                Ok(None) => {}
                 Err(error) => {
+                    if error == StoreError::HistoryGone {
+                        watched_from = None;
+                    }
                     self.log_rules_not_received(&error.to_string(), STORE_SOURCE, sent_ms);
                     let silent_ms = clock::now().since(self.store_answered_ms.get());
                     if silent_ms > ASK_PEERS_AFTER_MS {
                         self.contact_peers().await;
                     }
+                    tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
                 }
             }
-            tokio::time::sleep(self.rules_period_ms().to_duration()).await;
         }
     }
 
-    fn rules_period_ms(&self) -> Millis {
-        if self.rules.borrow().rules.is_none() {
-            INITIAL_PERIOD_MS
-        } else if self.store_failures.get() > 0 {
-            OUTAGE_PERIOD_MS
-        } else {
-            RULES_PERIOD_MS
+    /// Waits for the next version after a revision, or reads the newest one.
+    ///
+    /// A watch sends every version since its revision. While peers report a newer one than the
+    /// store has sent, there may be several, of which only the newest is of use.
+    async fn next_rules(&self, after: Option<u64>) -> StoreResult<(Option<RawRules>, u64)> {
+        let configuration = &self.ports.configuration;
+        let behind = {
+            let rules = self.rules.borrow();
+            rules.reported_revision > rules.read_revision
+        };
+        match after {
+            Some(after) if !behind => configuration.changes(after, self.rules_wait_ms()).await,
+            _ => configuration.fetch().await,
         }
     }
 
+    /// How long a watch may wait. While the store fails, the answer shows its recovery.
+    fn rules_wait_ms(&self) -> Millis {
+        if self.rules.borrow().store_failed { Millis(0) } else { WATCH_TIMEOUT_MS }
+    }
+
+    /// Processes an answer of the store to a call that was sent at `sent_ms`.
+    fn rules_answered(&self, newer: Option<RawRules>, sent_ms: Millis) {
+        if let Some(raw) = newer {
+            self.log_received_rules(&raw, STORE_SOURCE, sent_ms);
+            self.rules.borrow_mut().read_revision = raw.revision;
+            self.apply_rules(raw);
+        }
+        self.confirm_rules(sent_ms);
+    }
+
     /// Counts the received text, and logs it if it is a new version.
     fn log_received_rules(&self, raw: &RawRules, source: &str, sent_ms: Millis) {
         self.metrics.add("rules_received_bytes", raw.text.len() as u64);
@@ -123,7 +150,12 @@
         if heartbeat.rules_revision == own && own > 0 {
             self.confirm_rules(now - heartbeat.rules_age_ms);
         }
-        if heartbeat.rules_revision > own
+        let reported = heartbeat.rules_revision;
+        {
+            let mut rules = self.rules.borrow_mut();
+            rules.reported_revision = rules.reported_revision.max(reported);
+        }
+        if reported > own
             && let Some(node) = self.this.upgrade()
         {
             let from = heartbeat.from.address;
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -318,10 +318,22 @@
 }
 
 impl Configuration for TestPorts {
-    fn fetch(&self) -> LocalBoxFuture<'_, StoreResult<Option<RawRules>>> {
+    fn fetch(&self) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>> {
         Box::pin(async move {
             self.store_call().await?;
-            Ok(Some(RawRules { revision: 1, text: Vec::new() }))
+            Ok((Some(RawRules { revision: 1, text: Vec::new() }), 1))
+        })
+    }
+
+    fn changes(
+        &self,
+        after: u64,
+        wait_ms: Millis,
+    ) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>> {
+        Box::pin(async move {
+            self.store_call().await?;
+            sleep(wait_ms).await;
+            Ok((None, after))
         })
     }
 
