cluster: tests of rules that are passed on between processes

The processes are real nodes in one thread. Answers of the peers pass through a forwarder that limits the rate and counts the transfers; the test support gets a process with an address of its own that can be cut off from the store.

--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! In-memory implementations of the ports of a process.
 #![allow(dead_code)] // Each test file uses only some of them.
 
+pub mod link;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -128,7 +130,11 @@
 
 /// The ports of a process, backed by an [`Environment`].
 #[derive(Clone)]
-pub struct TestPorts(pub Rc<Environment>);
+pub struct TestPorts(
+    pub Rc<Environment>,
+    /// Whether this process cannot reach the store.
+    pub Rc<Cell<bool>>,
+);
 
 async fn sleep(ms: Millis) {
     tokio::time::sleep(ms.to_duration()).await;
@@ -138,7 +144,8 @@
     /// Simulates the duration of a store call, and the outage if there is one.
     async fn store_call(&self) -> StoreResult<()> {
         sleep(STORE_CALL_MS).await;
-        if self.0.store_is_down.get() { Err(StoreError::NotApplied) } else { Ok(()) }
+        let fails = self.0.store_is_down.get() || self.1.get();
+        if fails { Err(StoreError::NotApplied) } else { Ok(()) }
     }
 }
 
@@ -372,17 +379,26 @@
 
 /// Creates a process that uses the environment.
 pub fn node(name: &str, environment: &Rc<Environment>) -> Rc<Node> {
-    let test_ports = TestPorts(environment.clone());
-    let ports = Ports {
+    node_at(name, address(), ports(environment, &Rc::default()))
+}
+
+/// Creates the ports of a process.
+pub fn ports(environment: &Rc<Environment>, store_is_unreachable: &Rc<Cell<bool>>) -> Ports {
+    let test_ports = TestPorts(environment.clone(), store_is_unreachable.clone());
+    Ports {
         store: Box::new(test_ports.clone()),
         directory: Box::new(test_ports.clone()),
         workers: Box::new(test_ports.clone()),
         advisor: Box::new(test_ports.clone()),
         configuration: Box::new(test_ports),
-    };
+    }
+}
+
+/// Creates a process that peers reach at the address.
+pub fn node_at(name: &str, peer_address: SocketAddr, ports: Ports) -> Rc<Node> {
     let settings = NodeSettings {
         name: name.into(),
-        peer_address: address(),
+        peer_address,
         cpu_milli: 500,
         leader_lease_ms: LEADER_LEASE_MS,
         cell: CellSettings {
