cluster: silent peers no longer delay a process that has lost the store

Two loops did so. Class: work whose duration grows with the number of peers on the path of a call that must not wait.

Evidence: silent_peers_do_not_delay_the_configuration_after_an_outage (20 silent peers, store away for 2 s) failed before: new rules not in force 3 s after the store's return.

Why it works: each round contacts four random peers at the same time and does not wait for them. Rules and the leader spread in a few rounds, and processes that lose the store together turn to different peers.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -52,7 +52,7 @@
             Ok(None) => self.campaign(NO_LEADER).await,
             Err(_recorded) => {
                 if clock::now().since(self.store_answered_ms.get()) > ASK_PEERS_AFTER_MS {
-                    self.contact_peers().await;
+                    self.contact_peers();
                 }
             }
         }
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -9,6 +9,7 @@
 use clock::CancellationToken;
 use eventlog::event;
 use libs::compact_str::CompactString;
+use libs::rand::seq::IndexedRandom;
 use libs::{rand, tokio};
 use metrics::Metrics;
 use types::Millis;
@@ -21,6 +22,9 @@
 
 /// Period of heartbeats to the leader: four of them fit into a leader's lease.
 const HEARTBEAT_PERIOD_MS: Millis = Millis(250);
+/// Peers that a process without the store contacts in each round. A round reaches a peer with the
+/// store with a probability of 98% while a third of the processes has lost it.
+const CONTACTED_PEERS: usize = 4;
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT_MS: Millis = Millis(350);
 /// Period of searching for a leader while none is known.
@@ -321,16 +325,23 @@
         }
     }
 
-    /// Exchanges heartbeats with all peers, to learn the leader and the rules while the store is
-    /// unreachable.
-    pub(crate) async fn contact_peers(&self) {
-        for peer in self.known_peers() {
-            let message = Message::Heartbeat(self.heartbeat());
-            if let Ok(Answer::Heartbeat(heartbeat)) =
-                self.send(peer.address, &message, HEARTBEAT_TIMEOUT_MS).await
-            {
-                self.record_heartbeat(&heartbeat);
-            }
+    /// Exchanges heartbeats with some random peers, to learn the leader and the rules while the
+    /// store is unreachable. Does not wait for the answers, since silent peers would delay the
+    /// caller's own calls.
+    pub(crate) fn contact_peers(&self) {
+        for peer in self.known_peers().choose_multiple(&mut rand::rng(), CONTACTED_PEERS) {
+            let Some(node) = self.this.upgrade() else { return };
+            let address = peer.address;
+            tokio::task::spawn_local(async move { node.contact_peer(address).await });
+        }
+    }
+
+    async fn contact_peer(&self, address: SocketAddr) {
+        let message = Message::Heartbeat(self.heartbeat());
+        if let Ok(Answer::Heartbeat(heartbeat)) =
+            self.send(address, &message, HEARTBEAT_TIMEOUT_MS).await
+        {
+            self.record_heartbeat(&heartbeat);
         }
     }
 
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -47,7 +47,7 @@
                     self.log_rules_not_received(&error.to_string(), STORE_SOURCE, sent_ms);
                     let silent_ms = clock::now().since(self.store_answered_ms.get());
                     if silent_ms > ASK_PEERS_AFTER_MS {
-                        self.contact_peers().await;
+                        self.contact_peers();
                     }
                     tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
                 }
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -31,6 +31,12 @@
 const NEW: u64 = 2;
 /// Duration of reading the configuration from the store.
 const FETCH_MS: Millis = Millis(25);
+/// Several periods of heartbeats.
+const JOIN_MS: Millis = Millis(1_500);
+/// Long enough for a process to turn to its peers.
+const OUTAGE_MS: Millis = Millis(2_000);
+/// Time in which a change must be in force.
+const IN_FORCE_MS: Millis = Millis(3_000);
 const CHECK_PERIOD_MS: Millis = Millis(5);
 /// Some hundred times the duration of a start and an election.
 const START_TIMEOUT_MS: Millis = Millis(10_000);
@@ -128,6 +134,29 @@
     });
 }
 
+/// Guards against a store that is not read for seconds after an outage, because each silent peer is
+/// waited for in turn.
+#[test]
+fn silent_peers_do_not_delay_the_configuration_after_an_outage() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let late = cluster.start_late().await;
+        late.wait_until_leader().await;
+        let mut silent = Vec::new();
+        for number in 0..PEERS {
+            silent.push(cluster.start_silent_peer(&format!("peer-{number}")).await);
+        }
+        tokio::time::sleep(JOIN_MS.to_duration()).await;
+        late.fetch_fails.set(true);
+        late.store_is_unreachable.set(true);
+        tokio::time::sleep(OUTAGE_MS.to_duration()).await;
+        late.newest.set(NEW);
+        late.fetch_fails.set(false);
+        late.store_is_unreachable.set(false);
+        assert!(late.has_new_rules_within(IN_FORCE_MS).await, "the rules do not arrive");
+    });
+}
+
 /// Cuts a process off from the store, then gives its peers new rules.
 async fn cut_off_and_publish(late: &Process, peers: &[Process]) {
     late.wait_until_ready().await;
@@ -184,6 +213,15 @@
         process
     }
 
+    /// Starts a process that sends heartbeats, and accepts connections but answers nothing.
+    async fn start_silent_peer(&self, name: &str) -> (Process, TcpListener) {
+        let listener = listen().await;
+        let process = self.create(name, address_of(&listener));
+        let token = CancellationToken::new;
+        tokio::task::spawn_local(process.node.clone().run(token(), token()));
+        (process, listener)
+    }
+
     fn create(&self, name: &str, address: SocketAddr) -> Process {
         let newest = Rc::new(Cell::new(OLD));
         let fetch_fails = Rc::new(Cell::new(false));
