cluster: a process does not serve by rules that it knows to be outdated

Cause: rules counted as usable for 6.5 s after their last confirmation, also when peers had reported a newer revision for as long. The allowance is meant for a process that cannot know.

Evidence: rules_from_peers.rs, process_with_overdue_rules_does_not_serve failed before (still ready 3 s after its leader had newer rules) and passes now. Ruled out: a shorter allowance for all, which would refuse callers in an outage of the store although nothing has changed.

Why it works: 1.2 s after a peer has reported newer rules the process refuses with 503 and is not ready, until it has them. Each version taken meanwhile starts the time anew, so that a series of versions refuses nobody.

--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -34,6 +34,9 @@
 /// Rules that have not been confirmed for this long are not used: a change must be in force within
 /// 2 s, a partial store outage may add 5 s, and the transit time of a request is subtracted.
 const RULES_STALE_MS: Millis = Millis(6_500);
+/// Rules are not used once a peer has had newer ones for this long: a change must be in force within
+/// 2 s, and the peer may have learned of it 0.5 s later.
+const RULES_OUTDATED_MS: Millis = Millis(1_200);
 /// A gap between two ticks that is logged as a pause of the process.
 const STALL_MS: Millis = Millis(700);
 /// Time for which a process that was too slow to lead does not stand for election.
@@ -76,6 +79,8 @@
     pub(crate) read_revision: u64,
     /// Newest revision that a peer has reported.
     pub(crate) reported_revision: u64,
+    /// Since when a peer has had newer rules than these.
+    pub(crate) outdated_since_ms: Option<Millis>,
     /// The last call to the store for them failed.
     pub(crate) store_failed: bool,
     /// A peer is sending its rules.
@@ -177,10 +182,13 @@
         !self.stopping.is_cancelled() && self.has_fresh_rules()
     }
 
-    /// Whether the rules were confirmed recently enough to be used.
+    /// Whether the rules were confirmed recently enough to be used, and no newer ones are overdue.
     pub fn has_fresh_rules(&self) -> bool {
+        let now = clock::now();
         let rules = self.rules.borrow();
-        rules.rules.is_some() && clock::now().since(rules.confirmed_ms) < RULES_STALE_MS
+        let overdue =
+            rules.outdated_since_ms.is_some_and(|since| now.since(since) >= RULES_OUTDATED_MS);
+        rules.rules.is_some() && !overdue && now.since(rules.confirmed_ms) < RULES_STALE_MS
     }
 
     /// The rules in force; `None` before the first configuration.
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -113,7 +113,8 @@
         let stale = !self.has_fresh_rules();
         if self.rules_were_stale.replace(stale) != stale {
             let event = if stale { "rules.stale" } else { "rules.confirmed" };
-            event!(event, "version" => rules.policy.version, "age_ms" => age_ms.0);
+            event!(event, "version" => rules.policy.version, "age_ms" => age_ms.0,
+                "reported_revision" => self.rules.borrow().reported_revision);
         }
     }
 
@@ -143,6 +144,7 @@
         let mut local = self.rules.borrow_mut();
         local.rules = Some(rules);
         local.raw = raw;
+        local.outdated_since_ms = (local.raw.revision < local.reported_revision).then(clock::now);
     }
 
     /// Compares the own rules with a peer's: the same revision is confirmed. A newer one comes from
@@ -157,6 +159,7 @@
         }
         let mut rules = self.rules.borrow_mut();
         rules.reported_revision = rules.reported_revision.max(heartbeat.rules_revision);
+        rules.outdated_since_ms.get_or_insert(now);
         let can_ask = rules.store_failed
             && !rules.receiving_from_peer
             && !rules.failed_peer.as_ref().is_some_and(|(name, failed_ms)| {
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -157,6 +157,20 @@
     });
 }
 
+/// Guards against answers by old rules, such as 404 for a new route, while newer ones are overdue.
+#[test]
+fn process_with_overdue_rules_does_not_serve() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let leader = cluster.start_peer("leader", Delivery::Stalls).await;
+        leader.wait_until_leader().await;
+        let late = cluster.start_late().await;
+        leader.wait_until_joined_by_late().await;
+        cut_off_and_publish(&late, &[leader]).await;
+        assert!(within(IN_FORCE_MS, || !late.node.ready()).await, "serves by old rules");
+    });
+}
+
 /// Cuts a process off from the store, then gives its peers new rules.
 async fn cut_off_and_publish(late: &Process, peers: &[Process]) {
     late.wait_until_ready().await;
