web: a response that trickles is given up

Cause: since each part of a body had the whole timeout, and a body 30 s, whatever its size. A renewal of a lease or a caller's status could last that long while a byte came now and then; a caller waits 3 s.

Evidence: slow_link.rs, response_that_trickles_is_given_up (a byte each 50 ms, timeout 300 ms) failed before: the call hung for the 20 s of the test.

Why it works: a body has the call's timeout, and more time only for what has arrived, at a rate of 25 kB/s; the time between two parts is bounded as before. Bodies over 16 MiB are refused. The tests on large, stalled and missing responses pass before and after.

--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -20,8 +20,10 @@
 /// Timeout for opening a connection. A packet takes a few milliseconds; a lost SYN is sent again
 /// after a second.
 const CONNECT_TIMEOUT_MS: Millis = Millis(700);
-/// Longest time for the body of a response, which may be as large as a value of the store.
-const MAX_BODY_MS: Millis = Millis(30_000);
+/// Rate below which a body does not count as arriving: a tenth of a link of 2 Mbit/s.
+const MIN_BODY_BYTES_PER_S: u64 = 25_000;
+/// Maximum size of a body: several versions of a value of 1 MiB in the answer to a watch.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// Connections idle for longer than this are closed, because servers close them after 15 s.
 const MAX_IDLE_MS: Millis = Millis(8_000);
 /// Maximum number of idle connections per address.
@@ -56,8 +58,8 @@
     pub headers: &'a [(&'static str, String)],
     /// Body; may be empty.
     pub body: Bytes,
-    /// Timeout for the head of the response, and then for each further part of its body: a large
-    /// body on a slow link takes longer than any limit that suits a small one.
+    /// Timeout for the response. A large body may take longer while it keeps arriving: on a slow link
+    /// it needs more time than any limit that suits a small one.
     pub timeout_ms: Millis,
 }
 
@@ -82,6 +84,25 @@
     Stalled,
     /// The connection was closed.
     Closed,
+    /// The body is larger than any that is expected.
+    TooLarge,
+}
+
+/// Time limits of a body.
+struct BodyLimits {
+    /// When a small body must have arrived.
+    deadline: tokio::time::Instant,
+    /// Longest time between two parts of a large one.
+    stall: Duration,
+}
+
+impl BodyLimits {
+    /// When the next part must have arrived after so many bytes.
+    fn next_part(&self, received_bytes: usize) -> tokio::time::Instant {
+        let earned_ms = received_bytes as u64 * 1_000 / MIN_BODY_BYTES_PER_S;
+        let stalled_at = tokio::time::Instant::now() + self.stall;
+        stalled_at.min(self.deadline + Duration::from_millis(earned_ms))
+    }
 }
 
 struct IdleConnection {
@@ -103,9 +124,13 @@
         request: Request<'_>,
     ) -> Result<Response, CallError> {
         let timeout = request.timeout_ms.to_duration();
-        let head = tokio::time::timeout(timeout, self.send(address, &request));
+        let deadline = tokio::time::Instant::now() + timeout;
+        let head = tokio::time::timeout_at(deadline, self.send(address, &request));
         let result = match head.await {
-            Ok(Ok((response, sender))) => self.receive(address, response, sender, timeout).await,
+            Ok(Ok((response, sender))) => {
+                let limits = BodyLimits { deadline, stall: timeout };
+                self.receive(address, response, sender, limits).await
+            }
             Ok(Err(error)) => return Err(error),
             Err(_elapsed) => Err(Interrupted::Stalled),
         };
@@ -124,12 +149,10 @@
         address: SocketAddr,
         response: hyper::Response<Incoming>,
         sender: SendRequest<Full<Bytes>>,
-        timeout: Duration,
+        limits: BodyLimits,
     ) -> Result<Response, Interrupted> {
         let (head, body) = response.into_parts();
-        let body = tokio::time::timeout(MAX_BODY_MS.to_duration(), collect_body(body, timeout))
-            .await
-            .map_err(|_elapsed| Interrupted::Stalled)??;
+        let body = collect_body(body, &limits).await?;
         self.put_idle(address, sender);
         Ok(Response { status: head.status.as_u16(), headers: head.headers, body })
     }
@@ -194,11 +217,12 @@
     Ok((response, sender))
 }
 
-/// Collects a body of which each part arrives within `timeout`.
-async fn collect_body(mut body: Incoming, timeout: Duration) -> Result<Bytes, Interrupted> {
+/// Collects a body within its limits.
+async fn collect_body(mut body: Incoming, limits: &BodyLimits) -> Result<Bytes, Interrupted> {
     let mut collected = BytesMut::new();
     loop {
-        let frame = tokio::time::timeout(timeout, body.frame())
+        let until = limits.next_part(collected.len());
+        let frame = tokio::time::timeout_at(until, body.frame())
             .await
             .map_err(|_elapsed| Interrupted::Stalled)?;
         let Some(frame) = frame else { return Ok(collected.freeze()) };
@@ -206,6 +230,9 @@
         if let Ok(data) = frame.into_data() {
             collected.extend_from_slice(&data);
         }
+        if collected.len() > MAX_BODY_BYTES {
+            return Err(Interrupted::TooLarge);
+        }
     }
 }
 
--- a/components/web/tests/slow_link.rs
+++ b/components/web/tests/slow_link.rs
@@ -29,6 +29,8 @@
     Nothing,
     Head,
     HeadAndParts(usize),
+    /// A part of one byte each [`PAUSE_MS`].
+    Trickle,
 }
 
 /// Guards against large responses that never arrive over a slow link, however often they are
@@ -49,6 +51,14 @@
     assert!(took < GIVE_UP_MS.to_duration(), "gave up after {took:?}");
 }
 
+/// Guards against calls that last for minutes because a byte arrives now and then.
+#[test]
+fn response_that_trickles_is_given_up() {
+    let (result, took) = call(Script::Trickle);
+    assert_eq!(result.err(), Some(CallError::Unanswered));
+    assert!(took < GIVE_UP_MS.to_duration(), "gave up after {took:?}");
+}
+
 /// Guards against calls that wait for a body of which nothing arrives.
 #[test]
 fn response_without_its_body_is_given_up() {
@@ -96,13 +106,11 @@
 
 async fn follow_script(mut stream: TcpStream, script: Script) -> std::io::Result<()> {
     read_request(&mut stream).await?;
-    let parts = match script {
-        Script::Nothing => None,
-        Script::Head => Some(0),
-        Script::HeadAndParts(parts) => Some(parts),
-    };
-    if let Some(parts) = parts {
-        send_response(&mut stream, parts).await?;
+    match script {
+        Script::Nothing => {}
+        Script::Head => send_response(&mut stream, 0, PART_BYTES).await?,
+        Script::HeadAndParts(parts) => send_response(&mut stream, parts, PART_BYTES).await?,
+        Script::Trickle => send_response(&mut stream, BODY_BYTES, 1).await?,
     }
     tokio::time::sleep(SILENCE_MS.to_duration()).await;
     Ok(())
@@ -118,12 +126,16 @@
     Ok(())
 }
 
-async fn send_response(stream: &mut TcpStream, parts: usize) -> std::io::Result<()> {
+async fn send_response(
+    stream: &mut TcpStream,
+    parts: usize,
+    part_bytes: usize,
+) -> std::io::Result<()> {
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
     stream.write_all(head.as_bytes()).await?;
     for _ in 0..parts {
         tokio::time::sleep(PAUSE_MS.to_duration()).await;
-        stream.write_all(&[b'x'; PART_BYTES]).await?;
+        stream.write_all(&vec![b'x'; part_bytes]).await?;
     }
     Ok(())
 }
