cluster: newer rules are known by revision, each with its own time

Cause: a process kept the newest reported revision and one time for it. A revision that the store does not have kept it reading the whole text without pause (41 downloads in 2 s) and refusing callers for good; each version that arrived began the time for the next one anew, so that old rules were used for 2.9 s after the newest had been published (limit 2 s).

Change: local_rules.rs holds the state and its decisions. Each newer revision has the time when it was first known. A read of the newest version that was sent after a report shows whether that revision exists. Heartbeats that are requests confirm nothing, since it is unknown how long ago they were sent; answers count from when the request was sent. rules.stale and rules.confirmed become rules.unusable (with the reason) and rules.usable.

--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod lag;
 mod leader;
+mod local_rules;
 mod node;
 mod orders;
 mod peers;
@@ -21,6 +22,7 @@
 mod rules;
 
 pub use lag::LagDetector;
+pub use local_rules::RulesProblem;
 pub use node::{Node, NodeSettings};
 pub use ports::{
     Access, Advice, Advisor, Change, Commit, Configuration, Directory, Item, LocalBoxFuture,
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -17,8 +17,9 @@
 
 use crate::lag::LagDetector;
 use crate::leader::Leader;
+use crate::local_rules::{LocalRules, RulesProblem};
 use crate::peers::{Answer, Heartbeat, LeaderInfo, Message, Peer};
-use crate::ports::{Ports, RawRules, Rules, StoreError};
+use crate::ports::{Ports, Rules, StoreError};
 
 /// Period of heartbeats to the leader: four of them fit into a leader's lease.
 const HEARTBEAT_PERIOD_MS: Millis = Millis(250);
@@ -31,12 +32,6 @@
 const SEARCH_PERIOD_MS: Millis = Millis(100);
 /// A peer without a heartbeat for this long is not considered live.
 pub(crate) const PEER_TIMEOUT_MS: Millis = Millis(1_500);
-/// Rules that have not been confirmed for this long are not used: a change must be in force within
-/// 2 s, a partial store outage may add 5 s, and the transit time of a request is subtracted.
-const RULES_STALE_MS: Millis = Millis(6_500);
-/// Rules are not used once a peer has had newer ones for this long: a change must be in force within
-/// 2 s, and the peer may have learned of it 0.5 s later.
-const RULES_OUTDATED_MS: Millis = Millis(1_200);
 /// A gap between two ticks that is logged as a pause of the process.
 const STALL_MS: Millis = Millis(700);
 /// Time for which a process that was too slow to lead does not stand for election.
@@ -68,27 +63,6 @@
     pub cell: CellSettings,
 }
 
-/// The rules in force in this process.
-#[derive(Debug, Default)]
-pub(crate) struct LocalRules {
-    pub(crate) raw: RawRules,
-    pub(crate) rules: Option<Rules>,
-    /// When they were last confirmed to be the newest.
-    pub(crate) confirmed_ms: Millis,
-    /// Newest revision that the store has sent to this process.
-    pub(crate) read_revision: u64,
-    /// Newest revision that a peer has reported.
-    pub(crate) reported_revision: u64,
-    /// Since when a peer has had newer rules than these.
-    pub(crate) outdated_since_ms: Option<Millis>,
-    /// The last call to the store for them failed.
-    pub(crate) store_failed: bool,
-    /// A peer is sending its rules.
-    pub(crate) receiving_from_peer: bool,
-    /// The last peer whose rules did not arrive, and when.
-    pub(crate) failed_peer: Option<(CompactString, Millis)>,
-}
-
 /// Last known state of a peer.
 pub(crate) struct PeerState {
     pub(crate) peer: Peer,
@@ -111,8 +85,8 @@
     pub(crate) incarnation: u64,
     pub(crate) secret: RefCell<Option<String>>,
     pub(crate) rules: RefCell<LocalRules>,
-    /// Whether the rules were last logged as stale.
-    pub(crate) rules_were_stale: StdCell<bool>,
+    /// The problem with the rules that was logged last.
+    pub(crate) logged_rules_problem: StdCell<Option<RulesProblem>>,
     pub(crate) leader: RefCell<Option<LeaderInfo>>,
     pub(crate) leadership: RefCell<Option<Rc<Leader>>>,
     pub(crate) peers: RefCell<BTreeMap<CompactString, PeerState>>,
@@ -140,7 +114,7 @@
             incarnation: rand::random(),
             secret: RefCell::default(),
             rules: RefCell::default(),
-            rules_were_stale: StdCell::default(),
+            logged_rules_problem: StdCell::default(),
             leader: RefCell::default(),
             leadership: RefCell::default(),
             peers: RefCell::default(),
@@ -179,16 +153,12 @@
 
     /// Whether this process accepts requests from callers.
     pub fn ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.has_fresh_rules()
+        !self.stopping.is_cancelled() && self.rules_problem().is_none()
     }
 
-    /// Whether the rules were confirmed recently enough to be used, and no newer ones are overdue.
-    pub fn has_fresh_rules(&self) -> bool {
-        let now = clock::now();
-        let rules = self.rules.borrow();
-        let overdue =
-            rules.outdated_since_ms.is_some_and(|since| now.since(since) >= RULES_OUTDATED_MS);
-        rules.rules.is_some() && !overdue && now.since(rules.confirmed_ms) < RULES_STALE_MS
+    /// Why the rules cannot be used; `None` if they can.
+    pub fn rules_problem(&self) -> Option<RulesProblem> {
+        self.rules.borrow().problem(clock::now())
     }
 
     /// The rules in force; `None` before the first configuration.
@@ -231,7 +201,7 @@
             is_leader: self.is_leader(),
             lease_held: self.leadership.borrow().as_ref().is_some_and(|own| self.holds_lease(own)),
             rules_revision: rules.raw.revision,
-            rules_age_ms: now.since(rules.confirmed_ms),
+            rules_age_ms: rules.age_ms(now),
             store_age_ms: now.since(self.store_answered_ms.get()),
             peers: self.live_peers(),
             cooling_down: self.cooling_down(),
@@ -251,8 +221,9 @@
         peers.values().filter(move |state| now.since(state.last_heartbeat_ms) < PEER_TIMEOUT_MS)
     }
 
-    /// Updates the local state from a peer's heartbeat.
-    pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat) {
+    /// Updates the local state from a peer's heartbeat, which answers a request that was sent at
+    /// `sent_ms`, or is a request itself.
+    pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat, sent_ms: Option<Millis>) {
         let now = clock::now();
         let state = PeerState {
             peer: heartbeat.from.clone(),
@@ -274,7 +245,7 @@
         if let Some(leader) = &heartbeat.leader {
             self.learn_leader(leader);
         }
-        self.sync_rules(heartbeat, now);
+        self.sync_rules(heartbeat, sent_ms);
     }
 
     fn learn_leader(&self, leader: &LeaderInfo) {
@@ -322,11 +293,12 @@
             return false;
         }
         let message = Message::Heartbeat(self.heartbeat());
+        let sent_ms = clock::now();
         match self.send(leader.peer.address, &message, HEARTBEAT_TIMEOUT_MS).await {
             Ok(Answer::Heartbeat(heartbeat)) => {
                 // A leader that cannot reach the store is replaced if this process can reach it.
                 let is_leader = heartbeat.is_leader && heartbeat.lease_held;
-                self.record_heartbeat(&heartbeat);
+                self.record_heartbeat(&heartbeat, Some(sent_ms));
                 is_leader
             }
             _ => false,
@@ -346,10 +318,11 @@
 
     async fn contact_peer(&self, address: SocketAddr) {
         let message = Message::Heartbeat(self.heartbeat());
+        let sent_ms = clock::now();
         if let Ok(Answer::Heartbeat(heartbeat)) =
             self.send(address, &message, HEARTBEAT_TIMEOUT_MS).await
         {
-            self.record_heartbeat(&heartbeat);
+            self.record_heartbeat(&heartbeat, Some(sent_ms));
         }
     }
 
@@ -362,7 +335,7 @@
         let mut lag = LagDetector::default();
         loop {
             tokio::time::sleep(TICK_MS.to_duration()).await;
-            self.log_rules_state();
+            self.report_rules_state();
             let now = clock::now();
             if now.since(last) > STALL_MS {
                 event!("process.paused", "for_ms" => now.since(last).0,
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -170,7 +170,7 @@
     async fn answer(&self, message: Message) -> Answer {
         match message {
             Message::Heartbeat(heartbeat) => {
-                self.record_heartbeat(&heartbeat);
+                self.record_heartbeat(&heartbeat, None);
                 Answer::Heartbeat(self.heartbeat())
             }
             Message::Submitted(record) => self.if_leader(|node| {
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -19,12 +19,10 @@
 const RETRY_DELAY_MS: Millis = Millis(150);
 /// Timeout of a request for a peer's rules.
 const RULES_TIMEOUT_MS: Millis = Millis(500);
-/// Time in which a peer whose rules did not arrive is not asked again, so that others are.
-const FAILED_PEER_PAUSE_MS: Millis = Millis(1_000);
 /// Source of rules that the store has sent, in log lines.
 const STORE_SOURCE: &str = "store";
-/// Time without an answer from the store after which peers are asked for their rules.
-const ASK_PEERS_AFTER_MS: Millis = Millis(900);
+/// Time without an answer from the store after which peers are contacted.
+const CONTACT_PEERS_AFTER_MS: Millis = Millis(900);
 
 impl Node {
     /// Follows the configuration in the store. Its text is sent only when it has changed.
@@ -32,58 +30,69 @@
         let mut watched_from = None;
         loop {
             let sent_ms = clock::now();
-            let answer = self.store_result(self.next_rules(watched_from).await);
-            self.rules.borrow_mut().store_failed = answer.is_err();
-            match answer {
+            let (result, watched) = self.next_rules(watched_from).await;
+            let answer = self.store_result(result);
+            let delay_ms = match answer {
                 Ok((newer, at)) => {
                     watched_from = Some(at);
-                    self.rules_answered(newer, sent_ms);
-                    tokio::time::sleep(WATCH_PERIOD_MS.to_duration()).await;
+                    self.rules_answered(newer, watched, sent_ms);
+                    WATCH_PERIOD_MS
+                }
+                Err(StoreError::HistoryGone) => {
+                    event!("store.history_gone", "prefix" => "rules", "after" => watched_from);
+                    watched_from = None;
+                    RETRY_DELAY_MS
                 }
                 Err(error) => {
-                    if error == StoreError::HistoryGone {
-                        watched_from = None;
-                    }
-                    self.log_rules_not_received(&error.to_string(), STORE_SOURCE, sent_ms);
-                    let silent_ms = clock::now().since(self.store_answered_ms.get());
-                    if silent_ms > ASK_PEERS_AFTER_MS {
-                        self.contact_peers();
-                    }
-                    tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
+                    self.rules_not_read(error, sent_ms);
+                    RETRY_DELAY_MS
                 }
-            }
+            };
+            tokio::time::sleep(delay_ms.to_duration()).await;
         }
     }
 
-    /// Waits for the next version after a revision, or reads the newest one.
+    /// Waits for the next version after a revision, or reads the newest one. Also returns whether
+    /// it waited.
     ///
     /// A watch sends every version since its revision. While peers report a newer one than the
     /// store has sent, there may be several, of which only the newest is of use.
-    async fn next_rules(&self, after: Option<u64>) -> StoreResult<(Option<RawRules>, u64)> {
+    async fn next_rules(&self, after: Option<u64>) -> (StoreResult<(Option<RawRules>, u64)>, bool) {
         let configuration = &self.ports.configuration;
-        let behind = {
+        let (behind, wait_ms) = {
             let rules = self.rules.borrow();
-            rules.reported_revision > rules.read_revision
+            // While the store fails, the answer shows its recovery.
+            let wait_ms = if rules.read_failed { Millis(0) } else { WATCH_TIMEOUT_MS };
+            (rules.is_behind(), wait_ms)
         };
-        match after {
-            Some(after) if !behind => configuration.changes(after, self.rules_wait_ms()).await,
-            _ => configuration.fetch().await,
+        match after.filter(|_| !behind) {
+            Some(after) => (configuration.changes(after, wait_ms).await, true),
+            None => (configuration.fetch().await, false),
         }
     }
 
-    /// How long a watch may wait. While the store fails, the answer shows its recovery.
-    fn rules_wait_ms(&self) -> Millis {
-        if self.rules.borrow().store_failed { Millis(0) } else { WATCH_TIMEOUT_MS }
-    }
-
     /// Processes an answer of the store to a call that was sent at `sent_ms`.
-    fn rules_answered(&self, newer: Option<RawRules>, sent_ms: Millis) {
+    fn rules_answered(&self, newer: Option<RawRules>, watched: bool, sent_ms: Millis) {
+        self.rules.borrow_mut().read_failed = false;
         if let Some(raw) = newer {
             self.log_received_rules(&raw, STORE_SOURCE, sent_ms);
-            self.rules.borrow_mut().read_revision = raw.revision;
+            let mut rules = self.rules.borrow_mut();
+            rules.note_read(raw.revision);
+            if !watched {
+                rules.note_newest(raw.revision, sent_ms);
+            }
+            drop(rules);
             self.apply_rules(raw);
         }
-        self.confirm_rules(sent_ms);
+        self.rules.borrow_mut().confirm(sent_ms);
+    }
+
+    fn rules_not_read(&self, error: StoreError, sent_ms: Millis) {
+        self.rules.borrow_mut().read_failed = true;
+        self.log_rules_not_received(&error.to_string(), STORE_SOURCE, sent_ms);
+        if clock::now().since(self.store_answered_ms.get()) > CONTACT_PEERS_AFTER_MS {
+            self.contact_peers();
+        }
     }
 
     /// Counts the received text, and logs it if it is a new version.
@@ -104,23 +113,21 @@
             "revision" => self.rules.borrow().raw.revision);
     }
 
-    /// Logs when the rules become too old to be used, and when they are confirmed again.
-    pub(crate) fn log_rules_state(&self) {
-        let Some(rules) = self.rules() else { return };
-        let age_ms = clock::now().since(self.rules.borrow().confirmed_ms);
-        self.metrics.gauge("rules_age_ms", age_ms.0);
-        self.metrics.gauge("rules_version", rules.policy.version);
-        let stale = !self.has_fresh_rules();
-        if self.rules_were_stale.replace(stale) != stale {
-            let event = if stale { "rules.stale" } else { "rules.confirmed" };
-            event!(event, "version" => rules.policy.version, "age_ms" => age_ms.0,
-                "reported_revision" => self.rules.borrow().reported_revision);
+    /// Logs when the rules can no longer be used and when they can be again, and sets their gauges.
+    pub(crate) fn report_rules_state(&self) {
+        let now = clock::now();
+        let problem = self.rules_problem();
+        let rules = self.rules.borrow();
+        let Some(version) = rules.rules.as_ref().map(|rules| rules.policy.version) else { return };
+        self.metrics.gauge("rules_age_ms", rules.age_ms(now).0);
+        self.metrics.gauge("rules_version", version);
+        if self.logged_rules_problem.replace(problem) == problem {
+            return;
         }
-    }
-
-    fn confirm_rules(&self, at: Millis) {
-        let mut rules = self.rules.borrow_mut();
-        rules.confirmed_ms = rules.confirmed_ms.max(at);
+        let event = if problem.is_some() { "rules.unusable" } else { "rules.usable" };
+        event!(event, "version" => version, "age_ms" => rules.age_ms(now).0,
+            "revision" => rules.raw.revision, "newest_revision" => rules.newest_revision(),
+            "why" => problem.map(|problem| problem.as_str()));
     }
 
     /// Puts rules in force if they are newer than the current ones.
@@ -141,49 +148,43 @@
         if let Some(leader) = self.leadership.borrow().as_ref() {
             leader.cell.borrow_mut().set_policy(rules.policy.clone());
         }
-        let mut local = self.rules.borrow_mut();
-        local.rules = Some(rules);
-        local.raw = raw;
-        local.outdated_since_ms = (local.raw.revision < local.reported_revision).then(clock::now);
+        self.rules.borrow_mut().put_in_force(rules, raw);
     }
 
-    /// Compares the own rules with a peer's: the same revision is confirmed. A newer one comes from
-    /// the store, or from the peer while the store does not answer.
-    pub(crate) fn sync_rules(&self, heartbeat: &Heartbeat, now: Millis) {
-        let own = self.rules.borrow().raw.revision;
-        if heartbeat.rules_revision == own && own > 0 {
-            self.confirm_rules(now - heartbeat.rules_age_ms);
+    /// Compares the own rules with a peer's. A newer version comes from the store, or from the peer
+    /// while the store does not answer. The same one is confirmed if the heartbeat answers a request
+    /// that was sent at `sent_ms`; it is unknown how long ago a heartbeat that is a request was sent.
+    pub(crate) fn sync_rules(&self, heartbeat: &Heartbeat, sent_ms: Option<Millis>) {
+        let now = clock::now();
+        let mut rules = self.rules.borrow_mut();
+        let own = rules.raw.revision;
+        if let Some(sent_ms) = sent_ms.filter(|_| heartbeat.rules_revision == own && own > 0) {
+            rules.confirm(sent_ms - heartbeat.rules_age_ms);
         }
-        if heartbeat.rules_revision <= own {
+        rules.note_revision(heartbeat.rules_revision, now);
+        if heartbeat.rules_revision <= own || !rules.begin_transfer(&heartbeat.from.name, now) {
             return;
         }
-        let mut rules = self.rules.borrow_mut();
-        rules.reported_revision = rules.reported_revision.max(heartbeat.rules_revision);
-        rules.outdated_since_ms.get_or_insert(now);
-        let can_ask = rules.store_failed
-            && !rules.receiving_from_peer
-            && !rules.failed_peer.as_ref().is_some_and(|(name, failed_ms)| {
-                *name == heartbeat.from.name && now.since(*failed_ms) < FAILED_PEER_PAUSE_MS
-            });
-        if let Some(node) = self.this.upgrade().filter(|_| can_ask) {
-            rules.receiving_from_peer = true;
-            let (from, age_ms) = (heartbeat.from.clone(), heartbeat.rules_age_ms);
-            tokio::task::spawn_local(async move { node.receive_rules(&from, now, age_ms).await });
+        if let Some(node) = self.this.upgrade() {
+            let heartbeat = heartbeat.clone();
+            tokio::task::spawn_local(async move { node.receive_rules(&heartbeat).await });
         }
     }
 
-    /// Requests the rules of a peer that were confirmed `age_ms` before `now`.
-    async fn receive_rules(&self, from: &Peer, now: Millis, age_ms: Millis) {
-        let answer = self.send(from.address, &Message::Rules, RULES_TIMEOUT_MS).await;
-        self.rules.borrow_mut().receiving_from_peer = false;
-        if let Ok(Answer::Rules(raw)) = answer {
-            self.log_received_rules(&raw, &from.name, now);
-            self.apply_rules(raw);
-            self.confirm_rules(now - age_ms);
-            return;
+    /// Requests the rules of the sender of a heartbeat.
+    async fn receive_rules(&self, heartbeat: &Heartbeat) {
+        let Peer { name, address, .. } = &heartbeat.from;
+        let sent_ms = clock::now();
+        let answer = self.send(*address, &Message::Rules, RULES_TIMEOUT_MS).await;
+        let arrived = matches!(answer, Ok(Answer::Rules(_)));
+        self.rules.borrow_mut().end_transfer(name, arrived, clock::now());
+        match answer {
+            Ok(Answer::Rules(raw)) => {
+                self.log_received_rules(&raw, name, sent_ms);
+                self.apply_rules(raw);
+            }
+            Ok(_other) => self.log_rules_not_received("unexpected answer", name, sent_ms),
+            Err(error) => self.log_rules_not_received(&error.to_string(), name, sent_ms),
         }
-        let error = answer.err().map_or("unexpected answer".to_owned(), |error| error.to_string());
-        self.log_rules_not_received(&error, &from.name, now);
-        self.rules.borrow_mut().failed_peer = Some((from.name.clone(), clock::now()));
     }
 }
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -29,12 +29,18 @@
 /// Revisions of the configuration, which are its versions as well.
 const OLD: u64 = 1;
 const NEW: u64 = 2;
+const NEWER: u64 = 3;
+/// Version that does not decode.
+const MALFORMED: u64 = u64::MAX;
 /// Duration of reading the configuration from the store.
 const FETCH_MS: Millis = Millis(25);
 /// Several periods of heartbeats.
 const JOIN_MS: Millis = Millis(1_500);
 /// Long enough for a process to turn to its peers.
 const OUTAGE_MS: Millis = Millis(2_000);
+/// Longer than [`IN_FORCE_MS`].
+const SLOW_TRANSFER_MS: Millis = Millis(2_500);
+const QUICK_SUCCESSION_MS: Millis = Millis(300);
 /// Time in which a change must be in force.
 const IN_FORCE_MS: Millis = Millis(3_000);
 const CHECK_PERIOD_MS: Millis = Millis(5);
@@ -105,13 +111,13 @@
         late.wait_until_ready().await;
         // A process without any rules may ask its peers.
         let transfers_at_start = cluster.link.transfers();
-        leader.newest.set(NEW);
+        leader.stored.newest.set(NEW);
         assert!(leader.has_new_rules_within(START_TIMEOUT_MS).await);
         // The next heartbeat reports the new revision, less than one polling period before the
         // store does.
         let heartbeats = leader.heartbeats_of_late.get();
         assert!(within(START_TIMEOUT_MS, || leader.heartbeats_of_late.get() > heartbeats).await);
-        late.newest.set(NEW);
+        late.stored.newest.set(NEW);
         assert!(late.has_new_rules_within(ARRIVAL_TIMEOUT_MS).await, "the store's rules are late");
         assert_eq!(cluster.link.transfers(), transfers_at_start, "transfers from peers");
     });
@@ -128,8 +134,8 @@
         let late = cluster.start_late().await;
         leader.wait_until_joined_by_late().await;
         late.wait_until_ready().await;
-        late.fetch_fails.set(true);
-        leader.newest.set(NEW);
+        late.stored.fails.set(true);
+        leader.stored.newest.set(NEW);
         assert!(late.has_new_rules_within(ARRIVAL_TIMEOUT_MS).await, "the rules do not arrive");
     });
 }
@@ -147,16 +153,56 @@
             silent.push(cluster.start_silent_peer(&format!("peer-{number}")).await);
         }
         tokio::time::sleep(JOIN_MS.to_duration()).await;
-        late.fetch_fails.set(true);
+        late.stored.fails.set(true);
         late.store_is_unreachable.set(true);
         tokio::time::sleep(OUTAGE_MS.to_duration()).await;
-        late.newest.set(NEW);
-        late.fetch_fails.set(false);
+        late.stored.newest.set(NEW);
+        late.stored.fails.set(false);
         late.store_is_unreachable.set(false);
         assert!(late.has_new_rules_within(IN_FORCE_MS).await, "the rules do not arrive");
     });
 }
 
+/// Guards against downloads without end, and against refusing callers for good, after a report of a
+/// revision that the store does not have.
+#[test]
+fn reported_revision_that_the_store_does_not_have_is_dropped() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let (leader, late) = cluster.start_pair().await;
+        leader.stored.newest.set(NEW);
+        assert!(leader.has_new_rules_within(START_TIMEOUT_MS).await);
+        leader.store_is_unreachable.set(true);
+        leader.stored.fails.set(true);
+        tokio::time::sleep(JOIN_MS.to_duration()).await;
+        let transfers = late.stored.transfers.get();
+        tokio::time::sleep(OUTAGE_MS.to_duration()).await;
+        assert!(late.stored.transfers.get() - transfers <= 2, "downloads");
+        assert!(late.node.ready(), "refuses callers");
+    });
+}
+
+/// Guards against serving by old rules for as long as intermediate versions keep arriving.
+#[test]
+fn intermediate_version_does_not_extend_the_use_of_old_rules() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let (leader, late) = cluster.start_pair().await;
+        late.stored.transfer_ms.set(SLOW_TRANSFER_MS);
+        for version in [NEW, NEWER] {
+            leader.stored.newest.set(version);
+            late.stored.newest.set(version);
+            tokio::time::sleep(QUICK_SUCCESSION_MS.to_duration()).await;
+        }
+        // The newer version has been known for at least the time in which it must be in force.
+        tokio::time::sleep(IN_FORCE_MS.to_duration()).await;
+        assert_eq!(late.version(), Some(NEW));
+        assert!(!late.node.ready(), "serves by old rules");
+        assert!(within(ARRIVAL_TIMEOUT_MS, || late.node.ready()).await, "refuses callers");
+        assert_eq!(late.version(), Some(NEWER));
+    });
+}
+
 /// Guards against answers by old rules, such as 404 for a new route, while newer ones are overdue.
 #[test]
 fn process_with_overdue_rules_does_not_serve() {
@@ -167,7 +213,12 @@
         let late = cluster.start_late().await;
         leader.wait_until_joined_by_late().await;
         cut_off_and_publish(&late, &[leader]).await;
+        assert!(late.node.ready(), "refuses callers before");
         assert!(within(IN_FORCE_MS, || !late.node.ready()).await, "serves by old rules");
+        late.stored.newest.set(NEW);
+        late.stored.fails.set(false);
+        late.store_is_unreachable.set(false);
+        assert!(within(ARRIVAL_TIMEOUT_MS, || late.node.ready()).await, "refuses callers after");
     });
 }
 
@@ -177,10 +228,10 @@
     for peer in peers {
         peer.wait_until_ready().await;
     }
-    late.fetch_fails.set(true);
+    late.stored.fails.set(true);
     late.store_is_unreachable.set(true);
     for peer in peers {
-        peer.newest.set(NEW);
+        peer.stored.newest.set(NEW);
     }
 }
 
@@ -196,10 +247,8 @@
 struct Process {
     node: Rc<Node>,
     environment: Rc<Environment>,
-    /// Newest revision that the store shows to this process.
-    newest: Rc<Cell<u64>>,
-    /// The configuration cannot be read from the store.
-    fetch_fails: Rc<Cell<bool>>,
+    /// The configuration as the store shows it to this process.
+    stored: Rc<StoredRules>,
     store_is_unreachable: Rc<Cell<bool>>,
     /// Number of heartbeats from `late`.
     heartbeats_of_late: Rc<Cell<u32>>,
@@ -218,6 +267,16 @@
         process
     }
 
+    /// Starts a leader, and `late` as its follower, with the same rules.
+    async fn start_pair(&self) -> (Process, Process) {
+        let leader = self.start_peer("leader", Delivery::Complete).await;
+        leader.wait_until_leader().await;
+        let late = self.start_late().await;
+        leader.wait_until_joined_by_late().await;
+        late.wait_until_ready().await;
+        (leader, late)
+    }
+
     /// Starts a process whose answers arrive over the link.
     async fn start_peer(&self, name: &str, delivery: Delivery) -> Process {
         let (public, listener) = (listen().await, listen().await);
@@ -237,23 +296,16 @@
     }
 
     fn create(&self, name: &str, address: SocketAddr) -> Process {
-        let newest = Rc::new(Cell::new(OLD));
-        let fetch_fails = Rc::new(Cell::new(false));
+        let stored = StoredRules::new(self.rules_bytes);
         let store_is_unreachable = Rc::new(Cell::new(false));
-        let configuration = StoredRules {
-            rules_bytes: self.rules_bytes,
-            newest: newest.clone(),
-            fetch_fails: fetch_fails.clone(),
-        };
         let ports = Ports {
-            configuration: Box::new(configuration),
+            configuration: Box::new(StoredRulesClient(stored.clone())),
             ..ports(&self.environment, &store_is_unreachable)
         };
         Process {
             node: node_at(name, address, ports),
             environment: self.environment.clone(),
-            newest,
-            fetch_fails,
+            stored,
             store_is_unreachable,
             heartbeats_of_late: Rc::default(),
         }
@@ -300,30 +352,56 @@
     }
 }
 
-/// The configuration as a process reads it from the store.
+/// The configuration as the store shows it to a process.
 struct StoredRules {
     rules_bytes: usize,
-    newest: Rc<Cell<u64>>,
-    fetch_fails: Rc<Cell<bool>>,
+    newest: Cell<u64>,
+    /// All reads fail.
+    fails: Cell<bool>,
+    /// No watch succeeds, because the history is compacted at once.
+    history_is_gone: Cell<bool>,
+    /// The text cannot be decoded.
+    is_malformed: Cell<bool>,
+    /// Duration of the transfer of the text.
+    transfer_ms: Cell<Millis>,
+    /// Number of transfers of the text.
+    transfers: Cell<usize>,
 }
 
 impl StoredRules {
-    fn read(&self) -> StoreResult<(Option<RawRules>, u64)> {
-        if self.fetch_fails.get() {
+    fn new(rules_bytes: usize) -> Rc<Self> {
+        Rc::new(Self {
+            rules_bytes,
+            newest: Cell::new(OLD),
+            fails: Cell::default(),
+            history_is_gone: Cell::default(),
+            is_malformed: Cell::default(),
+            transfer_ms: Cell::default(),
+            transfers: Cell::default(),
+        })
+    }
+
+    async fn transfer(&self) -> StoreResult<(Option<RawRules>, u64)> {
+        if self.fails.get() {
             return Err(StoreError::Unanswered);
         }
         let revision = self.newest.get();
-        let mut text = revision.to_le_bytes().to_vec();
+        let version = if self.is_malformed.get() { MALFORMED } else { revision };
+        let mut text = version.to_le_bytes().to_vec();
         text.resize(self.rules_bytes, 0);
+        self.transfers.set(self.transfers.get() + 1);
+        tokio::time::sleep(self.transfer_ms.get().to_duration()).await;
         Ok((Some(RawRules { revision, text }), revision))
     }
 }
 
-impl Configuration for StoredRules {
+struct StoredRulesClient(Rc<StoredRules>);
+
+impl Configuration for StoredRulesClient {
     fn fetch(&self) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>> {
         Box::pin(async move {
             tokio::time::sleep(FETCH_MS.to_duration()).await;
-            self.read()
+            self.0.transfer().await
         })
     }
 
@@ -334,15 +412,21 @@
     ) -> LocalBoxFuture<'_, StoreResult<(Option<RawRules>, u64)>> {
         Box::pin(async move {
             tokio::time::sleep(FETCH_MS.to_duration()).await;
-            let changed = || self.fetch_fails.get() || self.newest.get() > after;
-            if within(wait_ms, changed).await { self.read() } else { Ok((None, after)) }
+            if self.0.history_is_gone.get() {
+                return Err(StoreError::HistoryGone);
+            }
+            let changed = || self.0.fails.get() || self.0.newest.get() > after;
+            if within(wait_ms, changed).await { self.0.transfer().await } else { Ok((None, after)) }
         })
     }
 
     fn parse(&self, text: &[u8]) -> errors::Result<Rules> {
         let invalid = || errors::Error::Config("no version".to_owned());
-        let version = text.first_chunk().ok_or_else(invalid)?;
-        let policy = Policy { version: u64::from_le_bytes(*version), ..Policy::default() };
+        let version = u64::from_le_bytes(*text.first_chunk().ok_or_else(invalid)?);
+        if version == MALFORMED {
+            return Err(invalid());
+        }
+        let policy = Policy { version, ..Policy::default() };
         Ok(Rules { policy: Rc::new(policy), ..Rules::default() })
     }
 }
