cluster: rules that cannot be decoded no longer confirm the old ones

A withdrawn key would have stayed valid without limit.

Ruled out: refusing at once, which the 1.5 s for overdue rules bound anyway.

--- a/components/cluster/src/local_rules.rs
+++ b/components/cluster/src/local_rules.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Whether the newest version that the store has sent is in force.
+    pub(crate) fn is_read_version_in_force(&self) -> bool {
+        self.raw.revision >= self.read_revision
+    }
+
     pub(crate) fn put_in_force(&mut self, rules: Rules, raw: RawRules) {
         self.newer.retain(|newer, _| *newer > raw.revision);
         self.rules = Some(rules);
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -84,7 +84,10 @@
             drop(rules);
             self.apply_rules(raw);
         }
-        self.rules.borrow_mut().confirm(sent_ms);
+        let mut rules = self.rules.borrow_mut();
+        if rules.is_read_version_in_force() {
+            rules.confirm(sent_ms);
+        }
     }
 
     fn rules_not_read(&self, error: StoreError, sent_ms: Millis) {
@@ -140,6 +143,7 @@
             Err(error) => {
                 event!("rules.decode_failed", "revision" => raw.revision,
                     "error" => error.to_string());
+                self.rules.borrow_mut().note_revision(raw.revision, clock::now());
                 return;
             }
         };
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -203,6 +203,21 @@
     });
 }
 
+/// Guards against old rules that stay in use because the newest ones cannot be decoded.
+#[test]
+fn malformed_version_ends_the_use_of_old_rules() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let (_leader, late) = cluster.start_pair().await;
+        late.stored.is_malformed.set(true);
+        late.stored.newest.set(NEW);
+        assert!(within(IN_FORCE_MS, || !late.node.ready()).await, "serves by old rules");
+        late.stored.is_malformed.set(false);
+        late.stored.newest.set(NEWER);
+        assert!(within(ARRIVAL_TIMEOUT_MS, || late.node.ready()).await, "refuses callers");
+    });
+}
+
 /// Guards against answers by old rules, such as 404 for a new route, while newer ones are overdue.
 #[test]
 fn process_with_overdue_rules_does_not_serve() {
