cluster: a compacted history causes neither downloads without pause nor copies from peers

Why it works: the first read follows at once, further ones in a row after 150 ms and twice as long each time, up to 2 s; a watch that succeeds begins anew. The store has answered, so peers are not asked.

--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -17,6 +17,9 @@
 /// Delay after a failed call. Callers are refused until the store's recovery is noticed, and a
 /// caller refused just after the end of an outage does not retry for seconds.
 const RETRY_DELAY_MS: Millis = Millis(150);
+/// Longest delay before the text is read again because the store has compacted its history. The
+/// first time it is read at once, and each further time in a row after twice the delay.
+const MAX_HISTORY_DELAY_MS: Millis = Millis(2_000);
 /// Timeout of a request for a peer's rules.
 const RULES_TIMEOUT_MS: Millis = Millis(500);
 /// Source of rules that the store has sent, in log lines.
@@ -28,6 +31,7 @@
     /// Follows the configuration in the store. Its text is sent only when it has changed.
     pub(crate) async fn follow_rules(self: Rc<Self>) {
         let mut watched_from = None;
+        let mut history_delay_ms = Millis(0);
         loop {
             let sent_ms = clock::now();
             let (result, watched) = self.next_rules(watched_from).await;
@@ -36,12 +40,19 @@
                 Ok((newer, at)) => {
                     watched_from = Some(at);
                     self.rules_answered(newer, watched, sent_ms);
+                    if watched {
+                        history_delay_ms = Millis(0);
+                    }
                     WATCH_PERIOD_MS
                 }
                 Err(StoreError::HistoryGone) => {
                     event!("store.history_gone", "prefix" => "rules", "after" => watched_from);
+                    self.rules.borrow_mut().read_failed = false;
                     watched_from = None;
-                    RETRY_DELAY_MS
+                    let delay_ms = history_delay_ms;
+                    history_delay_ms =
+                        (delay_ms + delay_ms).max(RETRY_DELAY_MS).min(MAX_HISTORY_DELAY_MS);
+                    delay_ms
                 }
                 Err(error) => {
                     self.rules_not_read(error, sent_ms);
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -182,6 +182,25 @@
     });
 }
 
+/// Guards against downloads of the whole text at the rate of the watches, while the store compacts
+/// its history faster than they wait.
+#[test]
+fn compacted_history_does_not_cause_downloads_without_pause() {
+    run(async {
+        let cluster = Cluster::new(SMALL_BYTES);
+        let (leader, late) = cluster.start_pair().await;
+        late.stored.history_is_gone.set(true);
+        leader.stored.newest.set(NEW);
+        late.stored.newest.set(NEW);
+        tokio::time::sleep(JOIN_MS.to_duration()).await;
+        let transfers = late.stored.transfers.get();
+        tokio::time::sleep(OUTAGE_MS.to_duration()).await;
+        assert!(late.stored.transfers.get() - transfers <= 2, "downloads");
+        assert_eq!(cluster.link.transfers(), 0, "transfers from peers");
+        assert!(late.node.ready(), "refuses callers");
+    });
+}
+
 /// Guards against serving by old rules for as long as intermediate versions keep arriving.
 #[test]
 fn intermediate_version_does_not_extend_the_use_of_old_rules() {
