cluster: a process that does not know the secret refuses all messages

Cause: before the secret is read, a message without the header was taken for a peer's, since neither had a secret. A stranger could report a leader or rules.

Evidence: message_without_a_secret_is_refused_by_a_process_without_one failed before (400, as the body was decoded) and passes now with 403.

--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -145,7 +145,9 @@
     /// Handles a request from a peer.
     pub async fn serve_peer(self: std::rc::Rc<Self>, request: ServerRequest) -> ServerResponse {
         let secret = self.secret.borrow().clone();
-        if request.path != PEER_PATH || secret.as_deref() != request.header(SECRET_HEADER) {
+        // A process that does not know the secret yet cannot tell peers from strangers.
+        let is_peer = secret.is_some() && secret.as_deref() == request.header(SECRET_HEADER);
+        if request.path != PEER_PATH || !is_peer {
             return ServerResponse { status: 403, ..ServerResponse::default() };
         }
         let message = match decode(&request.body) {
--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -237,6 +237,23 @@
     });
 }
 
+/// Guards against messages from strangers to a process that does not know the secret yet.
+#[test]
+fn message_without_a_secret_is_refused_by_a_process_without_one() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        let node = node_at(LATE, support::address(), ports(&environment, &Rc::default()));
+        let request = web::ServerRequest {
+            method: web::Method::POST,
+            path: "/peer".to_owned(),
+            query: String::new(),
+            headers: Default::default(),
+            body: Default::default(),
+        };
+        assert_eq!(node.serve_peer(request).await.status, 403);
+    });
+}
+
 /// Guards against answers by old rules, such as 404 for a new route, while newer ones are overdue.
 #[test]
 fn process_with_overdue_rules_does_not_serve() {
