cell: nothing starts before the first configuration is known

Cause: the process was elected 10 ms before it had read its first configuration. Until then its cell had an empty policy, in which no team has a limit, and the first scheduling round started what had room on the workers. Jobs that became known meanwhile were also never counted against their team's share, since a share of 0 means none.

Ruled out: not to lead without rules. The leases on workers would not be renewed while no process can read the configuration, and running tasks lost.

Change: `Cell::schedule` does nothing until a policy was set. The first one counts the jobs known so far against the shares, in the order of acceptance. Polls, leases, ends, cancellations and status need no policy and go on.

Why it works: starts, preemptions, requests for advice and stops of incomplete gangs are ordered by scheduling rounds only; a start that is sent again was ordered by one. `set_policy` requests a round, so nothing waits longer than for the configuration.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -33,7 +33,10 @@
 pub struct Cell {
     pub(crate) settings: CellSettings,
     pub(crate) epoch: u64,
+    /// The configuration; empty while `policy_known` is not set.
     pub(crate) policy: Rc<Policy>,
+    /// A configuration was set. Until then the limits of teams are not known.
+    pub(crate) policy_known: bool,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) used_by_team: BTreeMap<TeamId, Resources>,
@@ -67,6 +70,7 @@
             settings,
             epoch,
             policy: Rc::default(),
+            policy_known: false,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
@@ -105,10 +109,25 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Replaces the configuration.
+    /// Replaces the configuration. Tasks start only once there is one.
     pub fn set_policy(&mut self, policy: Rc<Policy>) {
         self.policy = policy;
         self.needs_scheduling = true;
+        if !std::mem::replace(&mut self.policy_known, true) {
+            self.count_known_jobs();
+        }
+    }
+
+    /// Counts the jobs that became known before the shares of teams did.
+    fn count_known_jobs(&mut self) {
+        let mut records: Vec<_> = self.jobs.values().map(|job| job.record.clone()).collect();
+        records.sort_by_key(|record| record.accepted_unix_ms);
+        for record in records {
+            let (_, over_share) = self.count_share(&record);
+            if let Some(job) = self.jobs.get_mut(&record.id) {
+                job.over_share = over_share;
+            }
+        }
     }
 
     pub(crate) fn step(&self, key: &StepKey) -> Option<&Step> {
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -36,9 +36,10 @@
 }
 
 impl Cell {
-    /// Runs a scheduling round: starts the tasks that can start now.
+    /// Runs a scheduling round: starts the tasks that can start now. Does nothing before the first
+    /// configuration.
     pub fn schedule(&mut self, now: Millis) {
-        if !self.may_start || !self.needs_scheduling {
+        if !self.may_start || !self.policy_known || !self.needs_scheduling {
             return;
         }
         self.needs_scheduling = false;
@@ -339,8 +340,8 @@
         let Some(job) = self.jobs.get(id) else { return vec!["no such job".to_owned()] };
         let policy = Cell::queue_policy(&self.policy, &job.record);
         let mut lines = vec![format!(
-            "ended {:?}, inherited {}, recovering {}",
-            job.ended, job.inherited, self.recovering
+            "ended {:?}, inherited {}, recovering {}, configuration known {}",
+            job.ended, job.inherited, self.recovering, self.policy_known
         )];
         for (number, occurrence) in &job.open_occurrences {
             for (index, (step, spec)) in
--- /dev/null
+++ b/components/cell/tests/first_policy.rs
@@ -0,0 +1,115 @@
+//! A cell before its first configuration: what would depend on it waits for it.
+
+mod simulation;
+
+use cell::{Action, Cell, CellSettings, JobRecord, Policy, PollAnswer, StepSpec, WorkerReport};
+use simulation::{job, policy};
+use types::{JobId, Millis, Resources, WorkerId};
+
+const NOW: Millis = Millis(100);
+/// Early enough for all jobs to be in time.
+const LATER: Millis = Millis(150);
+const JOB: &str = "00000000000000aa";
+/// A team with a share of 5 jobs per second, of which 10 may arrive at once.
+const TEAM: &str = "small";
+const OTHER_TEAM: &str = "large";
+const QUEUE: &str = "urgent";
+/// Unix time at which jobs are accepted.
+const ACCEPTED_UNIX_MS: u64 = 1_700_000_000_000;
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu_milli: count * 1_000, mem_mb: 100, accels: 0 }
+}
+
+fn cell_without_policy(worker_cores: u64) -> Cell {
+    let settings = CellSettings {
+        lease_ms: Millis(4_500),
+        max_lease_ms: Millis(6_000),
+        ended_retention_ms: Millis(120_000),
+        poll_wait_ms: Millis(0),
+    };
+    let mut cell = Cell::new(settings, 1, ACCEPTED_UNIX_MS);
+    cell.worker_listed(worker(worker_cores), NOW);
+    cell.poll_answered(&id(), NOW, &poll_answer(), NOW);
+    cell.tick(NOW);
+    cell
+}
+
+fn worker(worker_cores: u64) -> WorkerReport {
+    WorkerReport {
+        id: id(),
+        incarnation_unix_ms: 5,
+        address: "127.0.0.1:1".parse().expect("address"),
+        service: "service".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources { mem_mb: 64_000, ..cores(worker_cores) },
+        draining: false,
+        leaves_in_ms: None,
+    }
+}
+
+fn id() -> WorkerId {
+    "w0".parse().expect("worker id")
+}
+
+fn poll_answer() -> PollAnswer {
+    PollAnswer {
+        incarnation_unix_ms: 5,
+        clock_ms: Millis(500),
+        active: Vec::new(),
+        ended: Vec::new(),
+        more_ended: false,
+    }
+}
+
+fn record(id: &str, team: &str, tasks: u32) -> JobRecord {
+    let step = StepSpec { tasks, need: cores(1), estimate_ms: Millis(100), ..StepSpec::default() };
+    job(id, QUEUE, team, vec![step])
+}
+
+/// Runs a scheduling round and returns the started jobs.
+fn starts(cell: &mut Cell) -> Vec<JobId> {
+    cell.schedule(LATER);
+    let started = |action| match action {
+        Action::Start(order) => Some(order.task.step.job.clone()),
+        _ => None,
+    };
+    cell.take_actions().into_iter().filter_map(started).collect()
+}
+
+/// The test policy with a limit of three cores for the team.
+fn limited_policy() -> Policy {
+    let mut limited = policy();
+    limited.teams.get_mut(&TEAM.parse().expect("team")).expect("a team").limit.cpu_milli = 3_000;
+    limited
+}
+
+/// Guards against teams over their limits, which are not known yet.
+#[test]
+fn tasks_start_within_the_limit_once_the_policy_is_known() {
+    let mut cell = cell_without_policy(64);
+    cell.add_job(record(JOB, TEAM, 10), NOW);
+    assert!(starts(&mut cell).is_empty(), "starts without limits");
+    let order = cell.poll_order(&id(), false, NOW).expect("a known worker");
+    assert!(order.deadline_ms.is_some(), "leases are not renewed");
+    cell.set_policy(limited_policy().into());
+    assert_eq!(starts(&mut cell).len(), 3);
+}
+
+/// Guards against a team that exceeds its share at the expense of others, because its jobs became
+/// known before the share did.
+#[test]
+fn early_jobs_count_against_the_share_of_their_team() {
+    let mut cell = cell_without_policy(11);
+    for number in 0..12 {
+        cell.add_job(record(&format!("{number:016x}"), TEAM, 1), NOW);
+    }
+    let mut other = record(JOB, OTHER_TEAM, 1);
+    other.accepted_unix_ms = ACCEPTED_UNIX_MS + 1;
+    cell.restore(other, None, NOW);
+    cell.set_policy(policy().into());
+    let started = starts(&mut cell);
+    assert_eq!(started.len(), 11);
+    assert!(started.contains(&JOB.parse().expect("job id")), "excess served before other teams");
+}
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -50,6 +50,8 @@
     pub workers_are_unreachable: Cell<bool>,
     /// Number of polls that renewed leases.
     pub lease_renewals: Cell<u32>,
+    /// Number of start orders that arrived at workers.
+    pub starts: Cell<u32>,
     /// Keys written by each applied transaction.
     pub commits: RefCell<Vec<Vec<String>>>,
 }
@@ -259,6 +261,7 @@
     fn start<'a>(&'a self, order: &'a StartOrder) -> LocalBoxFuture<'a, StartAnswer> {
         Box::pin(async move {
             sleep(WORKER_CALL_MS).await;
+            self.0.starts.set(self.0.starts.get() + 1);
             let mut ended = self.0.ended.borrow_mut();
             let ended = ended.entry(order.worker.clone()).or_default();
             let sequence = ended.last().map_or(1, |end| end.sequence + 1);
