cell: failures are not judged before the first configuration is known

A job could be shown as failed although an attempt was left: with the number of attempts raised after its acceptance, and a leader without a configuration.

Cause: without a policy, `max_attempts` came from the job's record, that is from its acceptance. A verdict cannot be taken back.

Ruled out: to leave the end with the worker until there is a policy. The run would count as running, and its end would delay the ones after it.

Change: before the first policy a failure is counted and stored, but not judged. A scheduling round ends a job as failed instead of starting a task that has failed as often as allowed. This also holds after a configuration that lowers `max_attempts`, when such a task used to start once more.

Why it works: a round has a policy, and each task passes it before it starts, also under a later leader that reads the stored failures.

--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -117,7 +117,8 @@
                     task.failed.push(end.attempt);
                 }
                 let failures = task.failed.len() as u32;
-                if failures >= max_attempts {
+                // The scheduling round judges it once there is a configuration.
+                if self.policy_known && failures >= max_attempts {
                     event!("job.failed", "job" => key.step.job.as_str(), "task" => key.to_string(),
                         "failures" => failures, "max_attempts" => max_attempts);
                     self.end_job(&key.step.job, FinalState::Failed, now);
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -10,8 +10,8 @@
 use crate::advice::{AdviceCandidate, call_ms};
 use crate::cell::Cell;
 use crate::fit;
-use crate::job::{Job, Phase};
-use crate::model::{AdvicePolicy, QueuePolicy, StepKey, StepSpec, TaskKey};
+use crate::job::{Job, Phase, Step};
+use crate::model::{AdvicePolicy, FinalState, QueuePolicy, StepKey, StepSpec, TaskKey};
 use crate::ranking::{Outlook, Rank, rank};
 use crate::worker::Worker;
 
@@ -107,6 +107,12 @@
         let policy = self.policy.clone();
         let queue = Cell::queue_policy(&policy, &record).clone();
         let Some(step) = job.step(key.occurrence, key.step) else { return };
+        if !spec.long_running && has_exhausted_task(step, queue.max_attempts) {
+            event!("job.failed", "job" => key.job.as_str(), "step" => key.to_string(),
+                "max_attempts" => queue.max_attempts);
+            self.end_job(&key.job, FinalState::Failed, now);
+            return;
+        }
         let waiting: Vec<u32> = (0u32..)
             .zip(&step.tasks)
             .filter(|(_, task)| task.phase == Phase::Waiting && task.not_before_ms <= now)
@@ -437,6 +443,16 @@
     }
 }
 
+/// Whether a task that waits has failed as often as allowed: its last failure was reported before
+/// the first configuration.
+fn has_exhausted_task(step: &Step, max_attempts: u32) -> bool {
+    step.tasks.iter().any(|task| {
+        task.phase == Phase::Waiting
+            && !task.failed.is_empty()
+            && task.failed.len() as u32 >= max_attempts
+    })
+}
+
 /// Steps of an occurrence that have tasks to start and whose earlier steps are done: index, work
 /// left on the critical path from there, and whether the tasks are long-running.
 fn ready_steps(
@@ -447,7 +463,7 @@
 ) -> Vec<(u16, Millis, bool)> {
     let record = job.record.clone();
     let Some(occurrence) = job.open_occurrences.get_mut(&number) else { return Vec::new() };
-    let done: Vec<bool> = occurrence.steps.iter().map(crate::job::Step::is_done).collect();
+    let done: Vec<bool> = occurrence.steps.iter().map(Step::is_done).collect();
     let mut ready = Vec::new();
     for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
         let earlier_done =
--- a/components/cell/tests/first_policy.rs
+++ b/components/cell/tests/first_policy.rs
@@ -2,8 +2,11 @@
 
 mod simulation;
 
-use cell::{Action, Cell, CellSettings, JobRecord, Policy, PollAnswer, StepSpec, WorkerReport};
-use simulation::{job, policy};
+use cell::{
+    Action, Cell, CellSettings, EndedRun, Ending, FinalState, JobRecord, Policy, PollAnswer,
+    QueuePolicy, StepSpec, WorkerReport,
+};
+use simulation::{job, policy, task};
 use types::{JobId, Millis, Resources, WorkerId};
 
 const NOW: Millis = Millis(100);
@@ -14,6 +17,10 @@
 const TEAM: &str = "small";
 const OTHER_TEAM: &str = "large";
 const QUEUE: &str = "urgent";
+/// Failures that the queue allows when the job is accepted.
+const MAX_ATTEMPTS: u32 = 3;
+/// Longer than the delay before a failed task starts again.
+const RETRY_DELAY_MS: Millis = Millis(100);
 /// Unix time at which jobs are accepted.
 const ACCEPTED_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -30,7 +37,7 @@
     };
     let mut cell = Cell::new(settings, 1, ACCEPTED_UNIX_MS);
     cell.worker_listed(worker(worker_cores), NOW);
-    cell.poll_answered(&id(), NOW, &poll_answer(), NOW);
+    cell.poll_answered(&id(), NOW, &poll_answer(Vec::new()), NOW);
     cell.tick(NOW);
     cell
 }
@@ -53,12 +60,12 @@
     "w0".parse().expect("worker id")
 }
 
-fn poll_answer() -> PollAnswer {
+fn poll_answer(ended: Vec<EndedRun>) -> PollAnswer {
     PollAnswer {
         incarnation_unix_ms: 5,
         clock_ms: Millis(500),
         active: Vec::new(),
-        ended: Vec::new(),
+        ended,
         more_ended: false,
     }
 }
@@ -85,6 +92,28 @@
     limited
 }
 
+/// A cell without a policy and a job whose task has failed as often as was allowed at first.
+fn cell_with_failed_task() -> Cell {
+    let mut cell = cell_without_policy(64);
+    cell.add_job(record(JOB, TEAM, 1), NOW);
+    let ends = (1..=MAX_ATTEMPTS).map(|attempt| EndedRun {
+        sequence: u64::from(attempt),
+        task: task(JOB, 0, 0),
+        attempt,
+        ending: Ending::Failed,
+        checkpoint: Default::default(),
+    });
+    cell.poll_answered(&id(), LATER, &poll_answer(ends.collect()), LATER);
+    cell
+}
+
+/// Whether the job ends as failed in the next batch.
+fn fails(cell: &mut Cell) -> bool {
+    let batch = cell.take_batch(10).expect("a change to store");
+    cell.batch_stored(&batch);
+    batch.records.iter().any(|record| record.ended == Some(FinalState::Failed))
+}
+
 /// Guards against teams over their limits, which are not known yet.
 #[test]
 fn tasks_start_within_the_limit_once_the_policy_is_known() {
@@ -113,3 +142,27 @@
     assert_eq!(started.len(), 11);
     assert!(started.contains(&JOB.parse().expect("job id")), "excess served before other teams");
 }
+
+/// Guards against a job that fails by a number of attempts that is not in force any more.
+#[test]
+fn failures_are_judged_by_the_first_policy() {
+    let mut cell = cell_with_failed_task();
+    assert!(!fails(&mut cell), "judged without a policy");
+    let mut raised = policy();
+    let queue = record(JOB, TEAM, 1).policy;
+    let queue = QueuePolicy { max_attempts: MAX_ATTEMPTS + 2, ..queue };
+    raised.queues.insert(QUEUE.parse().expect("queue"), queue);
+    cell.set_policy(raised.into());
+    cell.schedule(LATER + RETRY_DELAY_MS);
+    let actions = cell.take_actions();
+    assert!(matches!(actions[..], [Action::Start(_)]), "an attempt is left");
+}
+
+/// Guards against an attempt beyond the allowed ones after failures that were not judged at once.
+#[test]
+fn exhausted_task_does_not_start_again() {
+    let mut cell = cell_with_failed_task();
+    cell.set_policy(policy().into());
+    assert!(starts(&mut cell).is_empty(), "one attempt too many");
+    assert!(fails(&mut cell));
+}
