cluster: a process without rules leaves the election to others for a second

A trial in memory shows it: a process that cannot read the configuration was elected before one that can.

Cause: an election did not ask whether the candidate has rules.

Ruled out: never to stand without rules. There would be no leader while nobody can read the configuration, and leases on workers would expire. A reported revision of peers: a process that has just started knows none.

Change: a process without rules stands only after it has seen no leader for 1 s, as smaller processes do beside larger ones.

Evidence: process_without_rules_leaves_the_election_to_others failed before ("elected without rules") and passes now. leader_without_rules_starts_nothing shows that a process without rules is elected when there is no other; election.rs passes.

Why it works: reading the configuration takes one call, and an election several; one with rules stands within 0.2 s. A process that just misses its first configuration loses at most one round of 0.2 s, in which it could not have started anything.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -16,6 +16,9 @@
 /// Time for which smaller processes leave the election to larger ones, which may start up to 300 ms
 /// later and need several store calls to be elected.
 const LARGER_PEER_DELAY_MS: Millis = Millis(1_000);
+/// Time for which a process without rules leaves the election to those that have some: a leader
+/// starts nothing without them. Reading them takes one call if the store answers.
+const NO_RULES_DELAY_MS: Millis = Millis(1_000);
 /// Time without an answer from the store after which peers are asked for the leader.
 const ASK_PEERS_AFTER_MS: Millis = Millis(600);
 
@@ -60,12 +63,22 @@
 
     /// Whether a process with much more CPU is live or has led before, and the time reserved for it
     /// to be elected has not passed.
-    fn defers_to_larger_peer(&self, max_cpu_milli: u32) -> bool {
+    fn defers_to_larger_peer(&self, max_cpu_milli: u32, leaderless_ms: Millis) -> bool {
+        let larger_exists = self.is_much_larger(max_cpu_milli) || self.larger_peer().is_some();
+        leaderless_ms < LARGER_PEER_DELAY_MS && larger_exists
+    }
+
+    /// Whether this process has no rules, and the time reserved for others has not passed.
+    fn defers_without_rules(&self, leaderless_ms: Millis) -> bool {
+        leaderless_ms < NO_RULES_DELAY_MS && self.rules.borrow().rules.is_none()
+    }
+
+    /// Time since this process first saw that there is no leader.
+    fn leaderless_ms(&self) -> Millis {
         let now = clock::now();
         let since = self.leaderless_since_ms.get().unwrap_or(now);
         self.leaderless_since_ms.set(Some(since));
-        let larger_exists = self.is_much_larger(max_cpu_milli) || self.larger_peer().is_some();
-        now.since(since) < LARGER_PEER_DELAY_MS && larger_exists
+        now.since(since)
     }
 
     /// A live peer that has much more CPU than this process and is not in cooldown.
@@ -123,7 +136,10 @@
             },
         };
         let known = self.leader.borrow().as_ref().map_or(0, |leader| leader.epoch);
-        if self.defers_to_larger_peer(last.max_cpu_milli) {
+        let leaderless_ms = self.leaderless_ms();
+        if self.defers_to_larger_peer(last.max_cpu_milli, leaderless_ms)
+            || self.defers_without_rules(leaderless_ms)
+        {
             return Ok(());
         }
         let info = LeaderInfo {
--- a/components/cluster/tests/leader_without_rules.rs
+++ b/components/cluster/tests/leader_without_rules.rs
@@ -18,7 +18,10 @@
 /// Some hundred times the duration of a start and an election.
 const TIMEOUT_MS: Millis = Millis(5_000);
 const CHECK_PERIOD_MS: Millis = Millis(5);
+/// Longer than an election, shorter than the time that is left to processes with rules.
+const LATER_START_MS: Millis = Millis(300);
 const WITHOUT_RULES: &str = "unread";
+const WITH_RULES: &str = "informed";
 
 /// Guards against teams over their limits: until the first configuration is read, the limits are not
 /// known.
@@ -41,6 +44,20 @@
     });
 }
 
+/// Guards against a leader that cannot start anything while another process could.
+#[test]
+fn process_without_rules_leaves_the_election_to_others() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        start(WITHOUT_RULES, &environment, &Rc::new(Cell::new(false)));
+        tokio::time::sleep(LATER_START_MS.to_duration()).await;
+        start(WITH_RULES, &environment, &Rc::new(Cell::new(true)));
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        let leader = environment.value("leader").unwrap_or_default();
+        assert!(String::from_utf8_lossy(&leader).contains(WITH_RULES), "elected without rules");
+    });
+}
+
 /// Starts a process that can read its configuration while `is_readable` is set.
 fn start(name: &str, environment: &Rc<Environment>, is_readable: &Rc<Cell<bool>>) -> Rc<Node> {
     let test_ports = TestPorts(environment.clone(), Rc::default());
