--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -19,8 +19,8 @@
 /// Time for which a process without rules leaves the election to those that have some: a leader
 /// starts nothing without them. Reading them takes one call if the store answers.
 const NO_RULES_DELAY_MS: Millis = Millis(1_000);
-/// Time without an answer from the store after which peers are asked for the leader.
-const ASK_PEERS_AFTER_MS: Millis = Millis(600);
+/// Time without an answer from the store after which peers are contacted, to learn the leader.
+const CONTACT_PEERS_AFTER_MS: Millis = Millis(600);
 
 /// Revision of the leader key while it does not exist.
 const NO_LEADER: u64 = 0;
@@ -54,7 +54,7 @@
             Ok(None) if self.stopping.is_cancelled() || self.cooling_down() => {}
             Ok(None) => self.campaign(NO_LEADER).await,
             Err(_recorded) => {
-                if clock::now().since(self.store_answered_ms.get()) > ASK_PEERS_AFTER_MS {
+                if clock::now().since(self.store_answered_ms.get()) > CONTACT_PEERS_AFTER_MS {
                     self.contact_peers();
                 }
             }
--- a/components/cluster/src/local_rules.rs
+++ b/components/cluster/src/local_rules.rs
@@ -60,18 +60,17 @@
 }
 
 impl LocalRules {
-    /// Why the rules cannot be used; `None` if they can.
-    pub(crate) fn problem(&self, now: Millis) -> Option<RulesProblem> {
+    /// The rules, or why they cannot be used.
+    pub(crate) fn usable(&self, now: Millis) -> Result<&Rules, RulesProblem> {
+        let rules = self.rules.as_ref().ok_or(RulesProblem::Missing)?;
+        if now.since(self.confirmed_ms) >= UNCONFIRMED_LIMIT_MS {
+            return Err(RulesProblem::Unconfirmed);
+        }
         let newer_known_ms = self.newer.values().min();
-        if self.rules.is_none() {
-            Some(RulesProblem::Missing)
-        } else if now.since(self.confirmed_ms) >= UNCONFIRMED_LIMIT_MS {
-            Some(RulesProblem::Unconfirmed)
-        } else if newer_known_ms.is_some_and(|known| now.since(*known) >= OVERDUE_LIMIT_MS) {
-            Some(RulesProblem::Overdue)
-        } else {
-            None
+        if newer_known_ms.is_some_and(|known_ms| now.since(*known_ms) >= OVERDUE_LIMIT_MS) {
+            return Err(RulesProblem::Overdue);
         }
+        Ok(rules)
     }
 
     /// Time since the rules were last confirmed.
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -153,12 +153,12 @@
 
     /// Whether this process accepts requests from callers.
     pub fn ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.rules_problem().is_none()
+        !self.stopping.is_cancelled() && self.usable_rules().is_ok()
     }
 
-    /// Why the rules cannot be used; `None` if they can.
-    pub fn rules_problem(&self) -> Option<RulesProblem> {
-        self.rules.borrow().problem(clock::now())
+    /// The rules by which callers are served, or why there are none.
+    pub fn usable_rules(&self) -> Result<Rules, RulesProblem> {
+        self.rules.borrow().usable(clock::now()).cloned()
     }
 
     /// The rules in force; `None` before the first configuration.
--- a/components/cluster/src/rules.rs
+++ b/components/cluster/src/rules.rs
@@ -27,20 +27,28 @@
 /// Time without an answer from the store after which peers are contacted.
 const CONTACT_PEERS_AFTER_MS: Millis = Millis(900);
 
+/// A call to the store for the rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RulesCall {
+    /// Reads the newest version.
+    Read,
+    /// Waits for versions after a revision.
+    Watch { after: u64, wait_ms: Millis },
+}
+
 impl Node {
     /// Follows the configuration in the store. Its text is sent only when it has changed.
     pub(crate) async fn follow_rules(self: Rc<Self>) {
         let mut watched_from = None;
         let mut history_delay_ms = Millis(0);
         loop {
+            let call = self.next_rules_call(watched_from);
             let sent_ms = clock::now();
-            let (result, watched) = self.next_rules(watched_from).await;
-            let answer = self.store_result(result);
-            let delay_ms = match answer {
+            let delay_ms = match self.store_result(self.call_for_rules(call).await) {
                 Ok((newer, at)) => {
                     watched_from = Some(at);
-                    self.rules_answered(newer, watched, sent_ms);
-                    if watched {
+                    self.rules_answered(newer, call, sent_ms);
+                    if call != RulesCall::Read {
                         history_delay_ms = Millis(0);
                     }
                     WATCH_PERIOD_MS
@@ -50,8 +58,7 @@
                     self.rules.borrow_mut().read_failed = false;
                     watched_from = None;
                     let delay_ms = history_delay_ms;
-                    history_delay_ms =
-                        (delay_ms + delay_ms).max(RETRY_DELAY_MS).min(MAX_HISTORY_DELAY_MS);
+                    history_delay_ms = next_history_delay_ms(delay_ms);
                     delay_ms
                 }
                 Err(error) => {
@@ -63,36 +70,37 @@
         }
     }
 
-    /// Waits for the next version after a revision, or reads the newest one. Also returns whether
-    /// it waited.
+    /// Chooses the next call, given the revision up to which changes are known.
     ///
     /// A watch sends every version since its revision. While peers report a newer one than the
     /// store has sent, there may be several, of which only the newest is of use.
-    async fn next_rules(&self, after: Option<u64>) -> (StoreResult<(Option<RawRules>, u64)>, bool) {
+    fn next_rules_call(&self, watched_from: Option<u64>) -> RulesCall {
+        let rules = self.rules.borrow();
+        // While the store fails, the answer shows its recovery.
+        let wait_ms = if rules.read_failed { Millis(0) } else { WATCH_TIMEOUT_MS };
+        match watched_from {
+            Some(after) if !rules.is_behind() => RulesCall::Watch { after, wait_ms },
+            _ => RulesCall::Read,
+        }
+    }
+
+    async fn call_for_rules(&self, call: RulesCall) -> StoreResult<(Option<RawRules>, u64)> {
         let configuration = &self.ports.configuration;
-        let (behind, wait_ms) = {
-            let rules = self.rules.borrow();
-            // While the store fails, the answer shows its recovery.
-            let wait_ms = if rules.read_failed { Millis(0) } else { WATCH_TIMEOUT_MS };
-            (rules.is_behind(), wait_ms)
-        };
-        match after.filter(|_| !behind) {
-            Some(after) => (configuration.changes(after, wait_ms).await, true),
-            None => (configuration.fetch().await, false),
+        match call {
+            RulesCall::Read => configuration.fetch().await,
+            RulesCall::Watch { after, wait_ms } => configuration.changes(after, wait_ms).await,
         }
     }
 
-    /// Processes an answer of the store to a call that was sent at `sent_ms`.
-    fn rules_answered(&self, newer: Option<RawRules>, watched: bool, sent_ms: Millis) {
+    /// Processes the answer of the store to a call that was sent at `sent_ms`.
+    fn rules_answered(&self, newer: Option<RawRules>, call: RulesCall, sent_ms: Millis) {
         self.rules.borrow_mut().read_failed = false;
         if let Some(raw) = newer {
             self.log_received_rules(&raw, STORE_SOURCE, sent_ms);
-            let mut rules = self.rules.borrow_mut();
-            rules.note_read(raw.revision);
-            if !watched {
-                rules.note_newest(raw.revision, sent_ms);
+            self.rules.borrow_mut().note_read(raw.revision);
+            if call == RulesCall::Read {
+                self.rules.borrow_mut().note_newest(raw.revision, sent_ms);
             }
-            drop(rules);
             self.apply_rules(raw);
         }
         let mut rules = self.rules.borrow_mut();
@@ -130,8 +138,8 @@
     /// Logs when the rules can no longer be used and when they can be again, and sets their gauges.
     pub(crate) fn report_rules_state(&self) {
         let now = clock::now();
-        let problem = self.rules_problem();
         let rules = self.rules.borrow();
+        let problem = rules.usable(now).err();
         let Some(version) = rules.rules.as_ref().map(|rules| rules.policy.version) else { return };
         self.metrics.gauge("rules_age_ms", rules.age_ms(now).0);
         self.metrics.gauge("rules_version", version);
@@ -203,3 +211,8 @@
         }
     }
 }
+
+/// Delay before the next read of the text that follows another one for want of history.
+fn next_history_delay_ms(delay_ms: Millis) -> Millis {
+    (delay_ms + delay_ms).max(RETRY_DELAY_MS).min(MAX_HISTORY_DELAY_MS)
+}
