--- a/components/cluster/tests/rules_from_peers.rs
+++ b/components/cluster/tests/rules_from_peers.rs
@@ -98,8 +98,7 @@
         let transfers_at_start = cluster.link.transfers();
         leader.stored.newest.set(NEW);
         assert!(leader.has_new_rules_within(START_TIMEOUT_MS).await);
-        // The next heartbeat reports the new revision, less than one polling period before the
-        // store does.
+        // The next heartbeat reports the new revision before the store does.
         let heartbeats = leader.heartbeats_of_late.get();
         assert!(within(START_TIMEOUT_MS, || leader.heartbeats_of_late.get() > heartbeats).await);
         late.stored.newest.set(NEW);
