operators: the stand-in's port is outside of the range of outgoing connections

Its log: "cannot listen on 127.0.0.1:36599: Address already in use". The test chose a free port of that range and released it, and a connection of a test beside it took it before the stand-in listened.

The test uses testbed::free_address, as the other tests with processes do since the same fault was mended there. No check changes.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-use testbed::{Client, Process, binaries_dir};
+use testbed::{Client, Process, binaries_dir, free_address};
 
 const RULES: &str = "\
 - pool: {name: north, domain: north}  # Hanna
@@ -24,9 +24,7 @@
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::remove_dir_all(&dir).ok();
         std::fs::create_dir_all(&dir).unwrap();
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        drop(listener);
+        let address = free_address();
         let args = ["platform".to_owned(), "--listen".to_owned(), address.to_string()];
         let program = binaries_dir().unwrap().join("carobsill-standin");
         let platform =
