--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -1,37 +1,42 @@
-//! Calls to the advisor: which workers to name, from which machine, and when.
+//! Advice on steps: tickets, and which workers to name in the next call.
 //!
-//! Load pattern: a call takes a fixed time plus some time for each worker named, and the advisor
-//! serves one call at a time for each calling machine. Long calls of one queue must not delay
-//! short calls of another, and tickets must be valid when resources become free.
+//! Load pattern: a call takes a fixed time plus some time for each worker named, often longer than
+//! room on a worker lasts while others wait for it. So one call renews all tickets that a step may
+//! need while they are valid, not those of the workers with room at the moment, and different
+//! steps name different workers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use libs::compact_str::CompactString;
-use types::{Millis, WorkerId};
+use types::{Millis, QueueId, WorkerId};
 
-use crate::model::AdvicePolicy;
+use crate::model::{AdvicePolicy, StepKey};
 
-/// Workers named in the first call of a step while none has free resources. The callers' objective
-/// allows for a call that names 30.
-const FIRST_CALL_WORKERS: usize = 30;
-/// Least and most workers named in a call, if there are that many.
+/// Least and most workers named in a call, if there are that many. The advisor takes up to 100.
 const MIN_CALL_WORKERS: usize = 6;
-const MAX_CALL_WORKERS: usize = 48;
-/// Assumed probability that the advisor allows a worker: the users' advisors allow 35% to 70%.
+const MAX_CALL_WORKERS: usize = 100;
+/// Most workers named while none has free resources. The callers' objective allows for a call that
+/// names 30.
+const MAX_CALL_WORKERS_AHEAD: usize = 30;
+/// Assumed probability that the advisor allows a worker, before any answer.
 pub(crate) const ALLOW_PROBABILITY: f64 = 0.35;
+/// Weight of a new answer in the average rate of allowed workers.
+const ALLOW_RATE_WEIGHT: f64 = 0.05;
+/// Expected number of tasks that start on a worker without free resources while a ticket is valid.
+const SLOTS_AHEAD: f64 = 0.5;
+/// Tickets wanted for each task, since other steps may take the room first.
+const TICKETS_PER_TASK: f64 = 2.0;
 /// Valid tickets kept for a step that waits for free resources.
 const PREPARED_TICKETS: usize = 4;
 /// A ticket is not used within this time before it expires, since the order takes time to reach
 /// the worker.
 const TICKET_MARGIN_MS: Millis = Millis(120);
-/// Calls that take longer than this count as long.
-const LONG_CALL_MS: f64 = 150.0;
 /// Delay before the next call after a failed one.
 const RETRY_MS: Millis = Millis(200);
-/// Backlog of a machine below which it takes another short call.
-const SHORT_BACKLOG_MS: f64 = 60.0;
-/// Time after which an unanswered call no longer occupies its machine.
-const CALL_EXPIRY_MS: Millis = Millis(4_000);
+/// Delay before the next call of a step after an answer, in durations of the last one: no step
+/// takes more than a third of a machine's time at the advisor.
+const CALL_SPACING: f64 = 2.0;
 
 /// Permission to run a step on a worker.
 #[derive(Debug, Clone)]
@@ -46,13 +51,24 @@
 pub(crate) struct StepAdvice {
     tickets: BTreeMap<WorkerId, Ticket>,
     denied: BTreeSet<WorkerId>,
-    /// A call is in progress.
-    pub(crate) call_pending: bool,
+    /// Duration of the call in progress.
+    call_pending_ms: Option<f64>,
     /// Number of calls made.
     pub(crate) calls: u32,
     not_before_ms: Millis,
 }
 
+/// What a call is needed for.
+pub(crate) struct AskContext {
+    /// Tasks that found no worker with a ticket and free resources.
+    pub(crate) tasks: u64,
+    /// Tickets that expire within this time are renewed.
+    pub(crate) lead_ms: Millis,
+    /// Probability that the advisor allows a worker that was not named before.
+    pub(crate) allow_rate: f64,
+    pub(crate) now: Millis,
+}
+
 impl StepAdvice {
     /// Ticket for an incarnation of a worker, if it can still be used.
     pub(crate) fn ticket(
@@ -72,9 +88,14 @@
         self.tickets.keys()
     }
 
-    /// Whether a call may be made now: none is in progress, and the delay after a failure is over.
+    /// A call is in progress.
+    pub(crate) fn call_pending(&self) -> bool {
+        self.call_pending_ms.is_some()
+    }
+
+    /// Whether a call may be made now: none is in progress, and the delay after the last is over.
     pub(crate) fn may_ask(&self, now: Millis) -> bool {
-        !self.call_pending && now >= self.not_before_ms
+        self.call_pending_ms.is_none() && now >= self.not_before_ms
     }
 
     pub(crate) fn is_denied(&self, worker: &WorkerId) -> bool {
@@ -86,15 +107,30 @@
         self.tickets.remove(worker);
     }
 
+    pub(crate) fn call_started(&mut self, duration_ms: f64) {
+        self.call_pending_ms = Some(duration_ms);
+        self.calls += 1;
+    }
+
+    /// Records an answer. Returns how many workers it named for the first time, and how many of
+    /// these are allowed.
     pub(crate) fn record_answer(
         &mut self,
         asked: &[(WorkerId, u64)],
         allowed: &[(WorkerId, CompactString)],
         expires_ms: Millis,
-    ) {
-        self.call_pending = false;
+        now: Millis,
+    ) -> (usize, usize) {
+        let duration_ms = self.call_pending_ms.take().unwrap_or_default();
+        self.not_before_ms = now + Millis((duration_ms * CALL_SPACING) as u64);
+        let (mut new, mut new_allowed) = (0, 0);
         for (worker, incarnation_unix_ms) in asked {
-            match allowed.iter().find(|(id, _)| id == worker) {
+            let answer = allowed.iter().find(|(id, _)| id == worker);
+            if !self.tickets.contains_key(worker) {
+                new += 1;
+                new_allowed += usize::from(answer.is_some());
+            }
+            match answer {
                 Some((_, text)) => {
                     let ticket = Ticket {
                         text: text.clone(),
@@ -108,163 +144,104 @@
                 }
             }
         }
+        (new, new_allowed)
     }
 
     pub(crate) fn record_failure(&mut self, now: Millis) {
-        self.call_pending = false;
+        self.call_pending_ms = None;
         self.not_before_ms = now + RETRY_MS;
     }
 
-    /// Workers to name in a call, for `tasks` tasks that found no worker with a ticket and free
-    /// resources.
+    /// Workers to name in a call. `candidates` are in the order of [`AdviceCandidate::order`].
     ///
-    /// Workers with free resources are named as far as the tasks will likely need them: first
-    /// allowed ones whose ticket has expired, then unknown ones. If no worker has free resources,
-    /// a few tickets are kept valid, so that resources are used as soon as they become free.
+    /// Without room on a worker that has no valid ticket, a call only serves to have some tickets
+    /// when resources become free. Otherwise it names as many workers as the tasks will likely
+    /// need.
     pub(crate) fn workers_to_ask(
         &self,
         candidates: &[AdviceCandidate],
-        tasks: u64,
-        lead_ms: Millis,
-        now: Millis,
+        context: &AskContext,
     ) -> Vec<(WorkerId, u64)> {
-        if !self.may_ask(now) {
-            return Vec::new();
-        }
-        let not_denied = || candidates.iter().filter(|one| !self.is_denied(&one.id));
-        let known = |one: &&AdviceCandidate| self.tickets.contains_key(&one.id);
-        let stale = |one: &&AdviceCandidate| {
-            known(one) && self.ticket(&one.id, one.incarnation_unix_ms, now + lead_ms).is_none()
+        let is_valid = |one: &AdviceCandidate| {
+            let needed_at = context.now + context.lead_ms;
+            self.ticket(&one.id, one.incarnation_unix_ms, needed_at).is_some()
         };
-        let has_slots = |one: &&AdviceCandidate| one.slots > 0;
-        if !not_denied().any(|one| has_slots(&one)) {
-            return self.tickets_to_refresh(
-                not_denied().filter(stale),
-                not_denied().filter(known).count(),
-                not_denied(),
-            );
+        let (valid, mut useful): (Vec<_>, Vec<_>) =
+            candidates.iter().filter(|one| !self.is_denied(&one.id)).partition(|one| is_valid(one));
+        let any_room = useful.iter().any(|one| one.slots > 0);
+        let prepared = PREPARED_TICKETS.min(usize::try_from(context.tasks).unwrap_or(usize::MAX));
+        if !any_room && valid.len() >= prepared {
+            return Vec::new();
         }
-        let wanted = (tasks * 2 + 2) as f64;
+        // Allowed workers are certain to get a ticket again.
+        useful.sort_by_key(|one| (one.slots == 0, !self.tickets.contains_key(&one.id)));
+        let wanted = context.tasks as f64 * TICKETS_PER_TASK + 1.0;
+        let most = if any_room { MAX_CALL_WORKERS } else { MAX_CALL_WORKERS_AHEAD };
         let mut expected = 0.0;
         let mut chosen = Vec::new();
-        let first = not_denied().filter(|one| has_slots(one) && stale(one)).map(|one| (one, 1.0));
-        let then = not_denied()
-            .filter(|one| has_slots(one) && !known(one))
-            .map(|one| (one, ALLOW_PROBABILITY));
-        for (one, probability) in first.chain(then) {
+        for one in useful {
             let enough = expected >= wanted && chosen.len() >= MIN_CALL_WORKERS;
-            if enough || chosen.len() >= MAX_CALL_WORKERS {
+            if enough || chosen.len() >= most {
                 break;
             }
-            expected += one.slots as f64 * probability;
+            let known = self.tickets.contains_key(&one.id);
+            let probability = if known { 1.0 } else { context.allow_rate };
+            let slots = if one.slots > 0 { one.slots as f64 } else { SLOTS_AHEAD };
+            expected += slots * probability;
             chosen.push((one.id.clone(), one.incarnation_unix_ms));
         }
         chosen
     }
-
-    /// Workers to name while none has free resources, to keep a few tickets valid.
-    fn tickets_to_refresh<'a>(
-        &self,
-        stale: impl Iterator<Item = &'a AdviceCandidate>,
-        known: usize,
-        not_denied: impl Iterator<Item = &'a AdviceCandidate>,
-    ) -> Vec<(WorkerId, u64)> {
-        let name = |one: &AdviceCandidate| (one.id.clone(), one.incarnation_unix_ms);
-        if known == 0 {
-            return not_denied.take(FIRST_CALL_WORKERS).map(name).collect();
-        }
-        let stale: Vec<_> = stale.map(name).collect();
-        let fresh = known - stale.len();
-        stale.into_iter().take(PREPARED_TICKETS.saturating_sub(fresh)).collect()
-    }
 }
 
 /// A worker that the advisor may be asked about.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct AdviceCandidate {
     pub(crate) id: WorkerId,
     pub(crate) incarnation_unix_ms: u64,
     /// Number of tasks of the step that fit on it now.
     pub(crate) slots: u64,
+    /// Pseudo-random number that differs between steps, see [`spread`].
+    pub(crate) spread: u64,
 }
 
-/// Expected duration of a call at the advisor.
-pub(crate) fn call_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
-    policy.call_ms + policy.per_worker_ms * workers as f64
+impl AdviceCandidate {
+    /// Workers with room for several tasks come first, since each worker named takes time.
+    pub(crate) fn order(&self) -> (std::cmp::Reverse<u64>, u64) {
+        /// Workers with room for at least this many tasks are equally good.
+        const MANY_SLOTS: u64 = 3;
+        (std::cmp::Reverse(self.slots.min(MANY_SLOTS)), self.spread)
+    }
 }
 
-/// A call in progress.
-#[derive(Debug)]
-struct Call {
-    number: u64,
-    /// Expected duration at the advisor.
-    duration_ms: f64,
-    sent_ms: Millis,
+/// Pseudo-random order of the workers for a step, so that steps name different workers.
+pub(crate) fn spread(step: &StepKey, worker: &WorkerId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (step, worker).hash(&mut hasher);
+    hasher.finish()
 }
 
-/// Machines that can call the advisor, with their calls in progress.
-#[derive(Debug, Default)]
-pub(crate) struct Callers {
-    machines: BTreeMap<CompactString, Vec<Call>>,
-    next_call: u64,
+/// Expected duration of a call at the advisor.
+pub(crate) fn call_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
+    policy.call_ms + policy.per_worker_ms * workers as f64
 }
 
-impl Callers {
-    /// Replaces the list of machines. Calls in progress on machines that stay are kept.
-    pub(crate) fn set_machines(&mut self, names: &[CompactString]) {
-        self.machines.retain(|name, _| names.contains(name));
-        for name in names {
-            self.machines.entry(name.clone()).or_default();
-        }
-    }
-
-    /// Assigns a call to a machine and returns it with the call's number; none if all are busy.
-    ///
-    /// A third of the machines, at least one, is reserved for short calls, unless there is only
-    /// one machine.
-    pub(crate) fn reserve(
-        &mut self,
-        duration_ms: f64,
-        now: Millis,
-    ) -> Option<(CompactString, u64)> {
-        for calls in self.machines.values_mut() {
-            calls.retain(|call| now.since(call.sent_ms) < CALL_EXPIRY_MS);
-        }
-        let name = self.least_busy(duration_ms, now)?.clone();
-        let calls = self.machines.get_mut(&name)?;
-        self.next_call += 1;
-        calls.push(Call { number: self.next_call, duration_ms, sent_ms: now });
-        Some((name, self.next_call))
-    }
-
-    /// Whether a machine can take a call now.
-    pub(crate) fn has_free(&self, duration_ms: f64, now: Millis) -> bool {
-        self.least_busy(duration_ms, now).is_some()
-    }
+/// Average share of the workers that the advisor allows, by queue.
+#[derive(Debug, Default)]
+pub(crate) struct AllowRates(BTreeMap<QueueId, f64>);
 
-    fn least_busy(&self, duration_ms: f64, now: Millis) -> Option<&CompactString> {
-        let reserved = if self.machines.len() > 1 { (self.machines.len() / 3).max(1) } else { 0 };
-        let long = duration_ms > LONG_CALL_MS;
-        let limit_ms = if long { 1.0 } else { SHORT_BACKLOG_MS };
-        let skipped = if long { reserved } else { 0 };
-        self.machines
-            .iter()
-            .skip(skipped)
-            .map(|(name, calls)| (backlog_ms(calls, now), name))
-            .filter(|(busy_ms, _)| *busy_ms < limit_ms)
-            .min_by(|(left, _), (right, _)| left.total_cmp(right))
-            .map(|(_, name)| name)
+impl AllowRates {
+    pub(crate) fn get(&self, queue: &QueueId) -> f64 {
+        self.0.get(queue).copied().unwrap_or(ALLOW_PROBABILITY)
     }
 
-    /// Releases the machine of a call that has ended.
-    pub(crate) fn release(&mut self, call: u64) {
-        for calls in self.machines.values_mut() {
-            calls.retain(|one| one.number != call);
+    /// Counts an answer on `asked` workers that a step had not named before.
+    pub(crate) fn record(&mut self, queue: &QueueId, asked: usize, allowed: usize) {
+        if asked == 0 {
+            return;
         }
+        let rate = self.0.entry(queue.clone()).or_insert(ALLOW_PROBABILITY);
+        let latest = allowed as f64 / asked as f64;
+        *rate += (latest - *rate) * ALLOW_RATE_WEIGHT;
     }
 }
-
-/// Expected time until the calls of a machine are done, in milliseconds.
-fn backlog_ms(calls: &[Call], now: Millis) -> f64 {
-    calls.iter().map(|call| (call.duration_ms - now.since(call.sent_ms).0 as f64).max(1.0)).sum()
-}
--- /dev/null
+++ b/components/cell/src/aging.rs
@@ -0,0 +1,162 @@
+//! Steps that have waited too long get a turn before all others.
+//!
+//! Load pattern: more urgent work than resources, or than time of the advisor, for many seconds.
+//! Work that is late beyond any use is ranked last, but was accepted and must not wait forever. A
+//! tenth of the resources that are started goes to the steps that have waited longest, one at a
+//! time for each service. If such a step needs more than any worker has free, the workers with most
+//! room take no other work until it fits.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use eventlog::event;
+use libs::compact_str::CompactString;
+use types::{Millis, Resources, WorkerId};
+
+use crate::cell::Cell;
+use crate::model::StepKey;
+use crate::place::WaitingStep;
+use crate::ranking::Outlook;
+use crate::schedule::Candidate;
+
+/// A step of which nothing has started for this long waits for a turn.
+const MAX_WAIT_MS: Millis = Millis(5_000);
+/// Longest turn; a step that could not start by then waits for its next one.
+const MAX_TURN_MS: Millis = Millis(3_000);
+/// Time between two choices of the steps whose turn it is.
+const CHOICE_PERIOD_MS: Millis = Millis(100);
+/// Part of the started resources that goes to the steps whose turn it is: one in this many.
+const CREDIT_DIVISOR: i64 = 10;
+/// Part of a service's resources that is credited in each choice period: one in this many.
+const PERIODIC_CREDIT_DIVISOR: i64 = 1_000;
+/// Most credit that a service saves up, as a part of its resources: one in this many.
+const MAX_CREDIT_DIVISOR: i64 = 32;
+/// Part of a service's workers that may be held for a step: one in this many, but at least one.
+const HELD_WORKERS_DIVISOR: usize = 8;
+
+/// Turn of one service.
+#[derive(Debug, Default)]
+struct Turn {
+    /// Step whose turn it is, and since when.
+    step: Option<(StepKey, Millis)>,
+    /// Processor capacity that steps may still get in their turns, in millicores. A start in a turn
+    /// may exceed it, and the next turn comes once that is made up for.
+    credit_cpu_milli: i64,
+}
+
+/// Turns of the steps that have waited too long, by service.
+#[derive(Debug, Default)]
+pub(crate) struct Turns {
+    by_service: BTreeMap<CompactString, Turn>,
+    chosen_ms: Millis,
+}
+
+impl Turns {
+    /// Counts resources given to a step.
+    pub(crate) fn started(&mut self, service: &CompactString, used: &Resources, in_turn: bool) {
+        let turn = self.by_service.entry(service.clone()).or_default();
+        let used = used.cpu_milli.cast_signed();
+        turn.credit_cpu_milli += if in_turn { -used } else { used / CREDIT_DIVISOR };
+    }
+
+    /// Whether it is the turn of a step, and its service has credit.
+    fn is_next(&self, candidate: &Candidate) -> bool {
+        self.by_service.get(&candidate.service).is_some_and(|turn| {
+            turn.credit_cpu_milli > 0
+                && turn.step.as_ref().is_some_and(|(key, _)| *key == candidate.key)
+        })
+    }
+
+    /// Moves the steps whose turn it is to the front of `candidates`. Returns their number.
+    pub(crate) fn move_to_front(&self, candidates: &mut [Candidate]) -> usize {
+        let next: Vec<usize> = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| self.is_next(candidate))
+            .map(|(index, _)| index)
+            .collect();
+        for (front, index) in next.iter().enumerate() {
+            if let Some(part) = candidates.get_mut(front..=*index) {
+                part.rotate_right(1);
+            }
+        }
+        next.len()
+    }
+}
+
+impl Cell {
+    /// Chooses the step of each service whose turn it is: the one that has waited longest.
+    pub(crate) fn choose_turns(&mut self, candidates: &[Candidate], now: Millis) {
+        if now < self.turns.chosen_ms + CHOICE_PERIOD_MS {
+            return;
+        }
+        self.turns.chosen_ms = now;
+        let mut longest: BTreeMap<&CompactString, (Millis, &StepKey)> = BTreeMap::new();
+        for candidate in candidates {
+            let waited_ms = now.since(candidate.waiting_since_ms);
+            let waits_by_choice = candidate.rank.outlook == Outlook::Deferrable;
+            if waited_ms < MAX_WAIT_MS || waits_by_choice {
+                continue;
+            }
+            let entry = longest.entry(&candidate.service).or_insert((waited_ms, &candidate.key));
+            if waited_ms > entry.0 {
+                *entry = (waited_ms, &candidate.key);
+            }
+        }
+        let mut ended = Vec::new();
+        for (service, turn) in &mut self.turns.by_service {
+            let total = self.rooms.get(service).map_or(0, |room| room.total.cpu_milli);
+            let total = total.cast_signed();
+            turn.credit_cpu_milli = (turn.credit_cpu_milli + total / PERIODIC_CREDIT_DIVISOR)
+                .min(total / MAX_CREDIT_DIVISOR);
+            let still_waits =
+                |key: &StepKey| candidates.iter().any(|candidate| candidate.key == *key);
+            if let Some((key, since_ms)) = turn.step.take_if(|(key, _)| !still_waits(key)) {
+                event!("step.turn_ended", "step" => key.to_string(),
+                    "took_ms" => now.since(since_ms).0);
+            }
+            let expired =
+                |(_, since_ms): &mut (StepKey, Millis)| now.since(*since_ms) >= MAX_TURN_MS;
+            if let Some((key, _)) = turn.step.take_if(expired) {
+                event!("step.turn_unused", "step" => key.to_string());
+                ended.push(key);
+            }
+        }
+        for (service, (waited_ms, key)) in longest {
+            let turn = self.turns.by_service.entry(service.clone()).or_default();
+            if turn.step.is_none() && !ended.contains(key) {
+                event!("step.turn", "step" => key.to_string(), "waited_ms" => waited_ms.0);
+                turn.step = Some((key.clone(), now));
+            }
+        }
+        for key in ended {
+            if let Some(step) = self.step_mut(&key) {
+                step.turn_ended_ms = now;
+            }
+        }
+    }
+
+    /// Ends the turn of a step of which a task has started.
+    pub(crate) fn end_turn(&mut self, service: &CompactString) {
+        if let Some(turn) = self.turns.by_service.get_mut(service) {
+            turn.step = None;
+        }
+    }
+
+    /// Workers to keep free for a step that has its turn and found no room: those with most room of
+    /// the ones that it may use.
+    pub(crate) fn workers_to_hold(&self, step: &WaitingStep<'_>) -> BTreeSet<WorkerId> {
+        let charge = step.spec.charge();
+        let denied =
+            |id: &WorkerId| self.step(step.key).is_some_and(|state| state.advice.is_denied(id));
+        let mut usable: Vec<(&WorkerId, f64)> = self
+            .workers
+            .iter()
+            .filter(|(id, worker)| worker.accepts(step.queue, step.spec, step.now) && !denied(id))
+            .filter(|(_, worker)| worker.report.capacity.covers(&charge))
+            .map(|(id, worker)| (id, worker.used.dominant_share(&worker.report.capacity)))
+            .collect();
+        let most = (usable.len() / HELD_WORKERS_DIVISOR).max(1);
+        usable.sort_by(|(_, left), (_, right)| left.total_cmp(right));
+        usable.into_iter().take(step.tasks.len().min(most)).map(|(id, _)| id.clone()).collect()
+    }
+}
--- /dev/null
+++ b/components/cell/src/ask.rs
@@ -0,0 +1,109 @@
+//! Requests advice for steps that may start soon.
+
+use eventlog::event;
+use types::Millis;
+
+use crate::action::Action;
+use crate::advice::{AdviceCandidate, AskContext, call_ms, spread};
+use crate::cell::Cell;
+use crate::model::AdvicePolicy;
+use crate::place::WaitingStep;
+
+/// A ticket is renewed this long before it expires, plus the duration of a short call.
+const ADVICE_LEAD_MS: Millis = Millis(150);
+/// Workers in a call to renew tickets, for its expected duration.
+const RENEWED_WORKERS: usize = 8;
+
+/// Time from a call until its tickets should have been used: the call, and half of their validity.
+fn ticket_horizon_ms(advice: &AdvicePolicy) -> Millis {
+    Millis(call_ms(advice, RENEWED_WORKERS) as u64 + advice.valid_ms.0 / 2)
+}
+
+impl Cell {
+    /// Requests advice on workers for `tasks` tasks that found none; `fits` tells whether there are
+    /// free resources for them. Otherwise only those steps ask that find some within the life of a
+    /// ticket, and urgent ones once, since preemption needs to know which workers are allowed.
+    ///
+    /// A step that has its turn may use the machines that are reserved for short calls.
+    pub(crate) fn request_advice(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        advice: &AdvicePolicy,
+        tasks: u64,
+        fits: bool,
+    ) {
+        let WaitingStep { key, spec, has_turn, now, .. } = *waiting;
+        let Some(step) = self.step(key) else { return };
+        let may_ask = tasks > 0
+            && step.advice.may_ask(now)
+            && self.callers.has_free(call_ms(advice, 1), has_turn, now);
+        if !may_ask {
+            return;
+        }
+        let asks_anyway = has_turn || (waiting.is_urgent() && step.advice.calls == 0);
+        if !fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
+            return;
+        }
+        let usable = self.advice_candidates(waiting);
+        let Some(step) = self.step(key) else { return };
+        let slots = usable.iter().filter(|one| !step.advice.is_denied(&one.id));
+        let slots = slots.fold(0u64, |sum, one| sum.saturating_add(one.slots));
+        let gang_fits = !spec.gang || slots >= tasks;
+        if fits && !gang_fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(key.occurrence, key.step) else { return };
+        let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(advice, RENEWED_WORKERS) as u64);
+        let context = AskContext {
+            tasks,
+            lead_ms: lead_ms.min(Millis(advice.valid_ms.0 / 2)),
+            allow_rate: self.allow_rates.get(&job.record.queue),
+            now,
+        };
+        let workers = step.advice.workers_to_ask(&usable, &context);
+        if workers.is_empty() {
+            return;
+        }
+        let duration_ms = call_ms(advice, workers.len());
+        let Some((caller, call)) = self.callers.reserve(duration_ms, has_turn, now) else { return };
+        if let Some(step) = self.step_mut(key) {
+            step.advice.call_started(duration_ms);
+        }
+        event!("advice.requested", "step" => key.to_string(), "workers" => workers.len(),
+            "machine" => caller.as_str(), "takes_ms" => duration_ms, "tasks" => tasks);
+        self.actions.push(Action::RequestAdvice { caller, call, step: key.clone(), workers });
+    }
+
+    /// Whether resources for a step become free while tickets that it gets now are valid.
+    fn frees_in_time(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        advice: &AdvicePolicy,
+        tasks: u64,
+    ) -> bool {
+        let charge = waiting.spec.charge();
+        let room = self.rooms.get_mut(&waiting.queue.service);
+        room.claim_ahead(&charge, tasks, ticket_horizon_ms(advice))
+    }
+
+    /// Workers that may run tasks of a step, in the order in which calls name them.
+    fn advice_candidates(&self, waiting: &WaitingStep<'_>) -> Vec<AdviceCandidate> {
+        let WaitingStep { key, spec, queue, now, .. } = *waiting;
+        let mut usable: Vec<AdviceCandidate> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.accepts(queue, spec, now) && worker.report.capacity.covers(&spec.charge())
+            })
+            .map(|(id, worker)| AdviceCandidate {
+                id: id.clone(),
+                incarnation_unix_ms: worker.incarnation_unix_ms,
+                slots: worker.slots(key, spec),
+                spread: spread(key, id),
+            })
+            .collect();
+        usable.sort_unstable_by_key(AdviceCandidate::order);
+        usable
+    }
+}
--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -107,6 +107,7 @@
             .collect();
         for id in &expired {
             self.jobs.remove(id);
+            self.open_jobs.remove(id);
         }
         expired
     }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -8,14 +8,20 @@
 use types::{JobId, Millis, Resources, TeamId, WorkerId};
 
 use crate::action::Action;
-use crate::advice::Callers;
+use crate::advice::{AllowRates, call_ms};
+use crate::aging::Turns;
 use crate::budget::RetryBudget;
+use crate::callers::Callers;
 use crate::job::{Job, Step};
 use crate::model::{
     FinalState, JobRecord, Policy, Progress, QueuePolicy, StepKey, StepSpec, TaskKey,
 };
+use crate::room::Rooms;
 use crate::worker::Worker;
 
+/// Workers named in a usual call to the advisor.
+const USUAL_CALL_WORKERS: usize = 30;
+
 /// Settings of a cell, fixed for its lifetime.
 #[derive(Debug, Clone)]
 pub struct CellSettings {
@@ -41,6 +47,18 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) used_by_team: BTreeMap<TeamId, Resources>,
     pub(crate) callers: Callers,
+    pub(crate) allow_rates: AllowRates,
+    /// Jobs that have not ended.
+    pub(crate) open_jobs: BTreeSet<JobId>,
+    /// Services that have a queue of the highest priority.
+    pub(crate) urgent_services: BTreeSet<CompactString>,
+    /// Resources that runs free in a second, by service.
+    pub(crate) freed_per_s: BTreeMap<CompactString, Resources>,
+    /// Resources during the current scheduling round.
+    pub(crate) rooms: Rooms,
+    /// Workers that take no other work in the current round than the steps whose turn it is.
+    pub(crate) held_workers: BTreeSet<WorkerId>,
+    pub(crate) turns: Turns,
     pub(crate) dirty: BTreeSet<JobId>,
     /// A batch was taken, and whether it is stored is not known yet.
     pub(crate) batch_in_flight: bool,
@@ -75,6 +93,13 @@
             workers: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
             callers: Callers::default(),
+            allow_rates: AllowRates::default(),
+            open_jobs: BTreeSet::new(),
+            urgent_services: BTreeSet::new(),
+            freed_per_s: BTreeMap::new(),
+            rooms: Rooms::default(),
+            held_workers: BTreeSet::new(),
+            turns: Turns::default(),
             dirty: BTreeSet::new(),
             batch_in_flight: false,
             actions: Vec::new(),
@@ -111,6 +136,16 @@
 
     /// Replaces the configuration. Tasks start only once there is one.
     pub fn set_policy(&mut self, policy: Rc<Policy>) {
+        self.urgent_services = policy
+            .queues
+            .values()
+            .filter(|queue| queue.priority == 0)
+            .map(|queue| queue.service.clone())
+            .collect();
+        let calls = policy.queues.values().filter_map(|queue| queue.advice);
+        let shortest =
+            calls.map(|advice| call_ms(&advice, USUAL_CALL_WORKERS)).min_by(f64::total_cmp);
+        self.callers.set_shortest_call(shortest.unwrap_or_default());
         self.policy = policy;
         self.needs_scheduling = true;
         if !std::mem::replace(&mut self.policy_known, true) {
@@ -163,6 +198,9 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
+        if job.ended.is_none() {
+            self.open_jobs.insert(id.clone());
+        }
         self.jobs.insert(id, job);
         self.needs_scheduling = true;
     }
@@ -181,6 +219,7 @@
             "team" => job.record.team.as_ref().map(|team| team.to_string()),
             "weight" => weight, "over_share" => job.over_share,
             "steps" => job.record.spec.steps.len(), "age_ms" => age.0);
+        self.open_jobs.insert(job.record.id.clone());
         self.jobs.insert(job.record.id.clone(), job);
         self.needs_scheduling = true;
     }
@@ -208,6 +247,7 @@
         job.ended = Some(end);
         job.ended_ms = now;
         job.open_occurrences.clear();
+        self.open_jobs.remove(id);
         self.dirty.insert(id.clone());
         self.needs_scheduling = true;
         let running: Vec<(WorkerId, TaskKey)> = self
@@ -242,13 +282,17 @@
     ) {
         self.callers.release(call);
         self.needs_scheduling = true;
-        let Some(step) = self.step_mut(key) else {
-            return;
-        };
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let queue = job.record.queue.clone();
+        let Some(step) = job.step_mut(key.occurrence, key.step) else { return };
         event!("advice", "step" => key.to_string(), "asked" => asked.len(),
             "allowed" => answer.map(|(allowed, _)| allowed.len()));
         match answer {
-            Some((allowed, valid_ms)) => step.advice.record_answer(asked, allowed, now + valid_ms),
+            Some((allowed, valid_ms)) => {
+                let (new, new_allowed) =
+                    step.advice.record_answer(asked, allowed, now + valid_ms, now);
+                self.allow_rates.record(&queue, new, new_allowed);
+            }
             None => step.advice.record_failure(now),
         }
     }
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -7,7 +7,7 @@
 use types::{Millis, WorkerId};
 
 use crate::advice::StepAdvice;
-use crate::model::{FinalState, JobRecord, JobStatus, Progress, StepProgress};
+use crate::model::{FinalState, JobRecord, JobStatus, Progress, StepProgress, StepSpec};
 use crate::ranking::Outlook;
 
 /// Phase of a task.
@@ -47,6 +47,10 @@
     pub(crate) advice: StepAdvice,
     /// Time at which the earlier steps were done.
     pub(crate) ready_ms: Option<Millis>,
+    /// Time of the last start of a task.
+    pub(crate) last_start_ms: Millis,
+    /// End of its last turn before others.
+    pub(crate) turn_ended_ms: Millis,
     /// Earliest time at which tasks may be preempted for it.
     pub(crate) preempt_after_ms: Millis,
     /// No former leader can have started it, so it need not wait for recovery.
@@ -62,6 +66,11 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Time since which its waiting tasks have had neither a start nor a turn.
+    pub(crate) fn waiting_since_ms(&self) -> Millis {
+        self.ready_ms.unwrap_or_default().max(self.last_start_ms).max(self.turn_ended_ms)
+    }
+
     /// Moves a task to another phase and updates the counts.
     pub(crate) fn set_phase(&mut self, index: u32, phase: Phase) {
         let Some(task) = self.tasks.get_mut(index as usize) else { return };
@@ -113,6 +122,8 @@
     pub(crate) next_occurrence: u32,
     /// Declared run time of the critical path; the objective derives from it.
     pub(crate) critical_path_ms: Millis,
+    /// Declared run time of the longest chain that begins with each step.
+    pub(crate) left_from_ms: Vec<Millis>,
     /// It exceeded the share of its team on acceptance.
     pub(crate) over_share: bool,
     /// Outlook when it was last ranked.
@@ -122,6 +133,7 @@
 impl Job {
     pub(crate) fn new(record: JobRecord, accepted_ms: Millis) -> Self {
         let critical_path_ms = critical_path(&record);
+        let left_from_ms = chains_from(&record.spec.steps);
         let mut job = Self {
             record: Rc::new(record),
             ended: None,
@@ -134,6 +146,7 @@
             done_occurrences: Vec::new(),
             next_occurrence: 0,
             critical_path_ms,
+            left_from_ms,
             over_share: false,
             outlook: Outlook::InTime,
         };
@@ -312,3 +325,19 @@
     }
     Millis(chain_ends.into_iter().max().unwrap_or(0))
 }
+
+/// Declared run time of the longest chain that begins with each step.
+fn chains_from(steps: &[StepSpec]) -> Vec<Millis> {
+    let mut chains: Vec<Millis> = steps.iter().map(|step| step.estimate_ms).collect();
+    // A step comes after earlier ones only, so the chains of later steps are complete.
+    for (index, step) in steps.iter().enumerate().rev() {
+        let own = chains.get(index).copied().unwrap_or_default();
+        for earlier in &step.after {
+            let earlier = usize::from(*earlier);
+            if let (Some(chain), Some(before)) = (chains.get_mut(earlier), steps.get(earlier)) {
+                *chain = (*chain).max(before.estimate_ms + own);
+            }
+        }
+    }
+    chains
+}
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -6,23 +6,30 @@
 
 mod action;
 mod advice;
+mod aging;
+mod ask;
 mod batch;
 mod budget;
+mod callers;
 mod cell;
 mod drain;
 mod ends;
+mod explain;
 mod fit;
 mod health;
 mod job;
 mod model;
 mod periodic;
+mod place;
 mod polling;
 mod preempt;
 mod queries;
 mod ranking;
+mod room;
 mod roster;
 mod runs;
 mod schedule;
+mod team_limit;
 mod worker;
 mod worker_list;
 
--- a/components/cell/src/periodic.rs
+++ b/components/cell/src/periodic.rs
@@ -31,9 +31,12 @@
     /// Does the periodic work. To be called at regular intervals.
     pub fn tick(&mut self, now: Millis) {
         let unix_ms = self.unix_ms(now);
-        for job in self.jobs.values_mut() {
-            job.open_due(unix_ms);
+        for id in &self.open_jobs {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.open_due(unix_ms);
+            }
         }
+        self.update_turnover();
         self.drop_expired_runs(now);
         self.retry_stops(now);
         self.stop_stalled_tasks(now);
--- /dev/null
+++ b/components/cell/src/place.rs
@@ -0,0 +1,135 @@
+//! Chooses workers for the waiting tasks of a step.
+
+use std::collections::BTreeMap;
+
+use libs::compact_str::CompactString;
+use types::{Millis, RackId, Resources, WorkerId};
+
+use crate::cell::Cell;
+use crate::fit;
+use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
+use crate::ranking::{Outlook, Rank};
+use crate::worker::Worker;
+
+/// Time for which the last attempt of a task waits for a worker whose last run did not fail.
+const LAST_ATTEMPT_WAIT_MS: Millis = Millis(1_000);
+
+/// Share of a team's limit that its deferrable work leaves to its urgent work, in percent: about
+/// what a burst of twice the usual load adds.
+const TEAM_HEADROOM_PERCENT: u64 = 15;
+
+/// A step that looks for workers in a scheduling round.
+pub(crate) struct WaitingStep<'a> {
+    pub(crate) key: &'a StepKey,
+    pub(crate) spec: &'a StepSpec,
+    pub(crate) queue: &'a QueuePolicy,
+    pub(crate) rank: Rank,
+    /// It goes before all others, since it has waited too long.
+    pub(crate) has_turn: bool,
+    /// Indexes of the tasks that wait.
+    pub(crate) tasks: &'a [u32],
+    pub(crate) now: Millis,
+}
+
+/// A task with the worker chosen for it, and the ticket to use there.
+pub(crate) type Placed = (u32, WorkerId, Option<CompactString>);
+
+impl WaitingStep<'_> {
+    /// Whether it can end within its objective, and may preempt others for that.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.rank.outlook == Outlook::InTime && self.queue.priority == 0
+    }
+
+    fn reserved_percent(&self) -> u64 {
+        if self.rank.is_deferrable() && !self.has_turn { TEAM_HEADROOM_PERCENT } else { 0 }
+    }
+}
+
+impl Cell {
+    /// Chooses a worker for each waiting task, as far as free resources allow. Only a step that has
+    /// its turn may use the workers that are held.
+    pub(crate) fn choose_workers(&self, waiting: &WaitingStep<'_>) -> Vec<Placed> {
+        let WaitingStep { key, spec, queue, now, .. } = *waiting;
+        let Some(step) = self.step(key) else {
+            return Vec::new();
+        };
+        let is_last_attempt = |index: u32| {
+            let counted = if spec.gang { 0 } else { index as usize };
+            step.tasks.get(counted).is_some_and(|task| {
+                task.failed.len() as u32 + 1 >= queue.max_attempts
+                    && now < task.not_before_ms + LAST_ATTEMPT_WAIT_MS
+            })
+        };
+        let mut free: BTreeMap<&WorkerId, (Resources, u32)> = BTreeMap::new();
+        let mut rack: Option<RackId> = None;
+        let charge = spec.charge();
+        let mut consider = |id, worker: &Worker| {
+            if !waiting.has_turn && self.held_workers.contains(id) {
+                return;
+            }
+            if !worker.free().covers(&charge) && !spec.same_rack {
+                return;
+            }
+            let of_step = worker.count_runs(key);
+            if of_step > 0 && spec.same_rack {
+                rack.clone_from(&worker.report.rack);
+            }
+            if worker.accepts(queue, spec, now) && worker.free().covers(&charge) {
+                free.insert(id, (worker.free(), of_step as u32));
+            }
+        };
+        if queue.advice.is_some() {
+            // Few workers have a ticket, so only these are examined.
+            for id in step.advice.allowed_workers() {
+                let Some((id, worker)) = self.workers.get_key_value(id) else { continue };
+                if step.advice.ticket(id, worker.incarnation_unix_ms, now).is_some() {
+                    consider(id, worker);
+                }
+            }
+        } else {
+            for (id, worker) in &self.workers {
+                consider(id, worker);
+            }
+        }
+        let mut limit = self.team_slots_with_reserve(key, spec, waiting.reserved_percent());
+        let mut chosen = Vec::new();
+        for index in waiting.tasks {
+            if limit == 0 {
+                break;
+            }
+            let last_attempt = is_last_attempt(*index);
+            let task = TaskKey { step: key.clone(), index: *index };
+            let best = free
+                .iter()
+                .filter(|(_, (_, count))| spec.max_per_worker.is_none_or(|most| *count < most))
+                .filter_map(|(id, (room, _))| {
+                    let worker = self.workers.get(*id)?;
+                    if worker.runs.contains_key(&task)
+                        || (last_attempt && worker.health.failed_last_run())
+                    {
+                        return None;
+                    }
+                    fit::score(spec, worker, room, rack.as_ref()).map(|score| (score, *id))
+                })
+                .max_by(|(left, _), (right, _)| left.total_cmp(right));
+            let Some((_, id)) = best else {
+                if last_attempt {
+                    continue;
+                }
+                break;
+            };
+            if let Some((room, count)) = free.get_mut(id) {
+                *room = room.minus(&spec.charge());
+                *count += 1;
+            }
+            if spec.same_rack && rack.is_none() {
+                rack = self.workers.get(id).and_then(|worker| worker.report.rack.clone());
+            }
+            let incarnation = self.workers.get(id).map_or(0, |worker| worker.incarnation_unix_ms);
+            let ticket = step.advice.ticket(id, incarnation, now).map(|ticket| ticket.text.clone());
+            chosen.push((*index, id.clone(), ticket));
+            limit -= 1;
+        }
+        chosen
+    }
+}
--- a/components/cell/src/queries.rs
+++ b/components/cell/src/queries.rs
@@ -38,6 +38,11 @@
         })
     }
 
+    /// Machines that are waiting for an answer of the advisor, in percent.
+    pub fn advisor_busy_percent(&self) -> u64 {
+        self.callers.busy_percent()
+    }
+
     /// Whether a fencing token is this leader's current one for a worker. If so, a higher one that
     /// the worker has seen is another leader's.
     pub fn is_current_fence(&self, id: &WorkerId, fence: u64) -> bool {
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -38,6 +38,7 @@
         job.started = true;
         let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
         step.set_phase(key.index, Phase::Placed(worker_id.clone()));
+        step.last_start_ms = now;
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
         task.attempt = attempt;
         let checkpoint = task.checkpoint.clone();
@@ -261,6 +262,7 @@
         gauge: 0,
         missed_polls: 0,
         resends: 0,
+        estimate_ms: if spec.long_running { Millis(0) } else { spec.estimate_ms },
     }
 }
 
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -1,38 +1,27 @@
 //! Places waiting tasks on workers.
 
-use std::collections::BTreeMap;
-
 use eventlog::event;
 use libs::compact_str::CompactString;
-use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
+use types::{Millis, Resources, WorkerId};
 
-use crate::action::Action;
-use crate::advice::{AdviceCandidate, call_ms};
 use crate::cell::Cell;
-use crate::fit;
 use crate::job::{Job, Phase, Step};
-use crate::model::{AdvicePolicy, FinalState, QueuePolicy, StepKey, StepSpec, TaskKey};
-use crate::ranking::{Outlook, Rank, rank};
-use crate::worker::Worker;
-
-/// A ticket is renewed this long before it expires, plus the duration of a short call.
-const ADVICE_LEAD_MS: Millis = Millis(150);
+use crate::model::{FinalState, StepKey, StepSpec, TaskKey};
+use crate::place::{Placed, WaitingStep};
+use crate::ranking::{Rank, rank};
 
-/// Share of the workers' processor capacity that deferrable work leaves free, in percent. A burst
+/// Share of a service's processor capacity that deferrable work leaves free, in percent. A burst
 /// of urgent work arrives within a second, and preempting other work for it takes as long.
 const HEADROOM_PERCENT: u64 = 10;
 
-/// Share of a team's limit that its deferrable work leaves to its urgent work, in percent: about
-/// what a burst of twice the usual load adds.
-const TEAM_HEADROOM_PERCENT: u64 = 15;
-
-/// Time for which the last attempt of a task waits for a worker whose last run did not fail.
-const LAST_ATTEMPT_WAIT_MS: Millis = Millis(1_000);
-
 /// A step with tasks to start.
-struct Candidate {
-    rank: Rank,
-    key: StepKey,
+pub(crate) struct Candidate {
+    pub(crate) rank: Rank,
+    pub(crate) key: StepKey,
+    /// Service whose workers run it.
+    pub(crate) service: CompactString,
+    /// Time since which it has had neither a start nor a turn.
+    pub(crate) waiting_since_ms: Millis,
 }
 
 impl Cell {
@@ -45,67 +34,74 @@
         self.needs_scheduling = false;
         self.check_recovery(now);
         self.urgent_demand = Resources::ZERO;
+        self.rooms = self.rooms();
+        self.held_workers.clear();
         let mut candidates = self.candidates(now);
+        self.choose_turns(&candidates, now);
         candidates.sort_by_key(|candidate| candidate.rank);
-        // Free resources only shrink within a round.
-        let mut headroom = true;
-        for candidate in candidates {
-            if candidate.rank.is_deferrable() {
-                headroom = headroom && self.has_headroom();
-                if !headroom {
-                    continue;
-                }
+        let turns = self.turns.move_to_front(&mut candidates);
+        for (index, candidate) in candidates.iter().enumerate() {
+            let has_turn = index < turns;
+            let leaves_headroom = candidate.rank.is_deferrable() && !has_turn;
+            if leaves_headroom && !self.has_headroom(&candidate.service) {
+                continue;
             }
-            self.place_step(&candidate, now);
+            self.place_step(candidate, has_turn, now);
         }
     }
 
-    /// Whether more processor capacity is free than is reserved for urgent work.
-    fn has_headroom(&self) -> bool {
-        let (free, total) = self.cpu_capacity();
-        free * 100 > total * HEADROOM_PERCENT
+    /// Whether a service has more processor capacity free than it reserves for urgent work.
+    fn has_headroom(&self, service: &CompactString) -> bool {
+        if !self.urgent_services.contains(service) {
+            return true;
+        }
+        let Some(room) = self.rooms.get(service) else { return true };
+        room.free.cpu_milli * 100 > room.total.cpu_milli * HEADROOM_PERCENT
     }
 
     fn candidates(&mut self, now: Millis) -> Vec<Candidate> {
         let policy = self.policy.clone();
         let unix_ms = self.unix_ms(now);
         let mut found = Vec::new();
-        for (id, job) in &mut self.jobs {
-            if job.ended.is_some() {
-                continue;
-            }
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
             // A worker that was not seen yet may run tasks of this job.
             let unseen_runs = job.inherited && self.recovering;
+            let record = job.record.clone();
+            let queue = Cell::queue_policy(&policy, &record);
             let numbers: Vec<u32> = job.open_occurrences.keys().copied().collect();
             for number in numbers {
                 let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
-                let queue = Cell::queue_policy(&policy, &job.record).clone();
-                for (step, left_ms, long_running) in ready_steps(job, number, unseen_runs, now) {
+                for ready in ready_steps(job, number, unseen_runs, now) {
                     let rank = rank(
-                        &queue,
+                        queue,
                         due_ms,
                         job.critical_path_ms,
-                        left_ms,
+                        ready.left_ms,
                         job.over_share,
-                        long_running,
+                        ready.long_running,
                         now,
                     );
                     job.outlook = rank.outlook;
-                    let key = StepKey { job: id.clone(), occurrence: number, step };
-                    found.push(Candidate { rank, key });
+                    found.push(Candidate {
+                        rank,
+                        key: StepKey { job: id.clone(), occurrence: number, step: ready.index },
+                        service: queue.service.clone(),
+                        waiting_since_ms: ready.waiting_since_ms,
+                    });
                 }
             }
         }
         found
     }
 
-    fn place_step(&mut self, candidate: &Candidate, now: Millis) {
+    fn place_step(&mut self, candidate: &Candidate, has_turn: bool, now: Millis) {
         let key = &candidate.key;
         let Some(job) = self.jobs.get(&key.job) else { return };
         let record = job.record.clone();
         let Some(spec) = record.spec.steps.get(usize::from(key.step)) else { return };
         let policy = self.policy.clone();
-        let queue = Cell::queue_policy(&policy, &record).clone();
+        let queue = Cell::queue_policy(&policy, &record);
         let Some(step) = job.step(key.occurrence, key.step) else { return };
         if !spec.long_running && has_exhausted_task(step, queue.max_attempts) {
             event!("job.failed", "job" => key.job.as_str(), "step" => key.to_string(),
@@ -113,45 +109,66 @@
             self.end_job(&key.job, FinalState::Failed, now);
             return;
         }
-        let waiting: Vec<u32> = (0u32..)
+        let tasks: Vec<u32> = (0u32..)
             .zip(&step.tasks)
             .filter(|(_, task)| task.phase == Phase::Waiting && task.not_before_ms <= now)
             .map(|(index, _)| index)
             .collect();
-        if spec.gang && waiting.len() < step.tasks.len() {
+        if spec.gang && tasks.len() < step.tasks.len() {
             self.stop_partial_gang(key, now);
             return;
         }
-        let reserved_percent =
-            if candidate.rank.is_deferrable() { TEAM_HEADROOM_PERCENT } else { 0 };
-        let placed = self.choose_workers(key, spec, &queue, &waiting, reserved_percent, now);
-        let all_placed = !spec.gang || placed.len() == waiting.len();
-        let started = if all_placed { placed.len() } else { 0 };
-        if all_placed {
-            self.start_placed(key, spec, placed, now);
+        let rank = candidate.rank;
+        let waiting = WaitingStep { key, spec, queue, rank, has_turn, tasks: &tasks, now };
+        let started = self.start_waiting(&waiting);
+        if started < tasks.len() {
+            self.seek_room(&waiting, tasks.len() - started);
         }
-        if started < waiting.len()
-            && let Some(advice) = queue.advice
-        {
-            self.request_advice(key, spec, &queue, advice, waiting.len() - started, now);
+    }
+
+    /// Starts the tasks of a step that find room, a gang only as a whole. Returns their number.
+    fn start_waiting(&mut self, waiting: &WaitingStep<'_>) -> usize {
+        let charge = waiting.spec.charge();
+        let service = &waiting.queue.service;
+        if !self.rooms.get_mut(service).may_fit(&charge) {
+            return 0;
         }
-        let urgent = candidate.rank.outlook == Outlook::InTime && queue.priority == 0;
-        if started < waiting.len() && urgent {
-            if self.team_slots(key, spec) == 0 {
-                self.preempt_within_team(key, spec, &queue, waiting.len() - started, now);
-            } else {
-                self.preempt(key, spec, &queue, waiting.len() - started, now);
-            }
+        let placed = self.choose_workers(waiting);
+        let started = placed.len();
+        if started == 0 || (waiting.spec.gang && started < waiting.tasks.len()) {
+            return 0;
+        }
+        self.start_placed(waiting.key, waiting.spec, placed, waiting.now);
+        let used = charge.times(started as u64);
+        self.rooms.get_mut(service).start(&used);
+        self.turns.started(service, &used, waiting.has_turn);
+        if waiting.has_turn {
+            self.end_turn(service);
         }
+        started
     }
 
-    fn start_placed(
-        &mut self,
-        key: &StepKey,
-        spec: &StepSpec,
-        placed: Vec<(u32, WorkerId, Option<CompactString>)>,
-        now: Millis,
-    ) {
+    /// Claims room for `tasks` tasks that found none: requests advice, preempts less urgent work
+    /// for urgent steps, and holds workers for a step that has its turn.
+    fn seek_room(&mut self, waiting: &WaitingStep<'_>, tasks: usize) {
+        let WaitingStep { key, spec, queue, now, .. } = *waiting;
+        let in_limit = self.team_slots(key, spec).min(tasks as u64);
+        let fits = self.rooms.get_mut(&queue.service).claim(&spec.charge(), in_limit);
+        if let Some(advice) = &queue.advice {
+            self.request_advice(waiting, advice, in_limit, fits);
+        }
+        if waiting.has_turn {
+            let held = self.workers_to_hold(waiting);
+            self.held_workers.extend(held);
+        }
+        if waiting.is_urgent() && in_limit == 0 {
+            self.preempt_within_team(key, spec, queue, tasks, now);
+        } else if waiting.is_urgent() {
+            self.preempt(key, spec, queue, tasks, now);
+        }
+    }
+
+    fn start_placed(&mut self, key: &StepKey, spec: &StepSpec, placed: Vec<Placed>, now: Millis) {
         let highest = self
             .step(key)
             .and_then(|step| step.tasks.iter().map(|task| task.attempt).max())
@@ -220,227 +237,6 @@
             self.stop_run(&worker, &task, "gang is incomplete", now);
         }
     }
-
-    /// Chooses a worker for each waiting task, as far as free resources allow.
-    fn choose_workers(
-        &self,
-        key: &StepKey,
-        spec: &StepSpec,
-        queue: &QueuePolicy,
-        waiting: &[u32],
-        reserved_percent: u64,
-        now: Millis,
-    ) -> Vec<(u32, WorkerId, Option<CompactString>)> {
-        let Some(step) = self.step(key) else {
-            return Vec::new();
-        };
-        let is_last_attempt = |index: u32| {
-            let counted = if spec.gang { 0 } else { index as usize };
-            step.tasks.get(counted).is_some_and(|task| {
-                task.failed.len() as u32 + 1 >= queue.max_attempts
-                    && now < task.not_before_ms + LAST_ATTEMPT_WAIT_MS
-            })
-        };
-        let mut free: BTreeMap<&WorkerId, (Resources, u32)> = BTreeMap::new();
-        let mut rack: Option<RackId> = None;
-        let charge = spec.charge();
-        let mut consider = |id, worker: &Worker| {
-            if !worker.free().covers(&charge) && !spec.same_rack {
-                return;
-            }
-            let of_step = worker.count_runs(key);
-            if of_step > 0 && spec.same_rack {
-                rack.clone_from(&worker.report.rack);
-            }
-            if worker.accepts(queue, spec, now) && worker.free().covers(&charge) {
-                free.insert(id, (worker.free(), of_step as u32));
-            }
-        };
-        if queue.advice.is_some() {
-            // Few workers have a ticket, so only these are examined.
-            for id in step.advice.allowed_workers() {
-                let Some((id, worker)) = self.workers.get_key_value(id) else { continue };
-                if step.advice.ticket(id, worker.incarnation_unix_ms, now).is_some() {
-                    consider(id, worker);
-                }
-            }
-        } else {
-            for (id, worker) in &self.workers {
-                consider(id, worker);
-            }
-        }
-        let mut limit = self.team_slots_with_reserve(key, spec, reserved_percent);
-        let mut chosen = Vec::new();
-        for index in waiting {
-            if limit == 0 {
-                break;
-            }
-            let last_attempt = is_last_attempt(*index);
-            let task = TaskKey { step: key.clone(), index: *index };
-            let best = free
-                .iter()
-                .filter(|(_, (_, count))| spec.max_per_worker.is_none_or(|most| *count < most))
-                .filter_map(|(id, (room, _))| {
-                    let worker = self.workers.get(*id)?;
-                    if worker.runs.contains_key(&task)
-                        || (last_attempt && worker.health.failed_last_run())
-                    {
-                        return None;
-                    }
-                    fit::score(spec, worker, room, rack.as_ref()).map(|score| (score, *id))
-                })
-                .max_by(|(left, _), (right, _)| left.total_cmp(right));
-            let Some((_, id)) = best else {
-                if last_attempt {
-                    continue;
-                }
-                break;
-            };
-            if let Some((room, count)) = free.get_mut(id) {
-                *room = room.minus(&spec.charge());
-                *count += 1;
-            }
-            if spec.same_rack && rack.is_none() {
-                rack = self.workers.get(id).and_then(|worker| worker.report.rack.clone());
-            }
-            let incarnation = self.workers.get(id).map_or(0, |worker| worker.incarnation_unix_ms);
-            let ticket = step.advice.ticket(id, incarnation, now).map(|ticket| ticket.text.clone());
-            chosen.push((*index, id.clone(), ticket));
-            limit -= 1;
-        }
-        chosen
-    }
-
-    /// Number of further tasks of the step that fit the limit of its team.
-    fn team_slots(&self, key: &StepKey, spec: &StepSpec) -> u64 {
-        self.team_slots_with_reserve(key, spec, 0)
-    }
-
-    /// Like `team_slots`, with a part of the team's limit kept free.
-    fn team_slots_with_reserve(
-        &self,
-        key: &StepKey,
-        spec: &StepSpec,
-        reserved_percent: u64,
-    ) -> u64 {
-        let Some(job) = self.jobs.get(&key.job) else { return 0 };
-        let Some(team) = &job.record.team else { return u64::MAX };
-        let Some(policy) = self.policy.teams.get(team) else { return u64::MAX };
-        let used = self.used_by_team.get(team).copied().unwrap_or_default();
-        let used = used.plus(&self.possible_usage(team));
-        let max_tasks = |limit: u64, used: u64, need: u64| {
-            let usable_limit = limit * (100 - reserved_percent) / 100;
-            if limit == 0 || need == 0 {
-                u64::MAX
-            } else {
-                usable_limit.saturating_sub(used) / need
-            }
-        };
-        max_tasks(policy.limit.cpu_milli, used.cpu_milli, spec.need.cpu_milli)
-            .min(max_tasks(policy.limit.mem_mb, used.mem_mb, spec.need.mem_mb))
-            .min(max_tasks(policy.limit.accels, used.accels, spec.need.accels))
-    }
-
-    /// Explains why the waiting tasks of a job do not run, with a line for each step.
-    pub fn explain(&self, id: &JobId, now: Millis) -> Vec<String> {
-        let Some(job) = self.jobs.get(id) else { return vec!["no such job".to_owned()] };
-        let policy = Cell::queue_policy(&self.policy, &job.record);
-        let mut lines = vec![format!(
-            "ended {:?}, inherited {}, recovering {}, configuration known {}",
-            job.ended, job.inherited, self.recovering, self.policy_known
-        )];
-        for (number, occurrence) in &job.open_occurrences {
-            for (index, (step, spec)) in
-                (0u16..).zip(occurrence.steps.iter().zip(&job.record.spec.steps))
-            {
-                let key = StepKey { job: id.clone(), occurrence: *number, step: index };
-                let fitting =
-                    self.workers.values().filter(|w| w.free().covers(&spec.charge())).count();
-                let advised = self
-                    .workers
-                    .iter()
-                    .filter(|(id, w)| step.advice.ticket(id, w.incarnation_unix_ms, now).is_some())
-                    .count();
-                lines.push(format!(
-                    "step {number}.{index}: {} of {} tasks done, {} wait; after {:?}; room on \
-                     {fitting} workers, {}tickets for {advised}, asking {}; the team may start {}",
-                    step.done,
-                    step.tasks.len(),
-                    step.waiting,
-                    spec.after,
-                    if policy.advice.is_some() { "" } else { "no advice needed, " },
-                    step.advice.call_pending,
-                    self.team_slots(&key, spec),
-                ));
-            }
-        }
-        lines
-    }
-
-    /// Resources that inherited tasks of a team may use on workers that were not seen yet.
-    fn possible_usage(&self, team: &TeamId) -> Resources {
-        if !self.recovering {
-            return Resources::ZERO;
-        }
-        let of_team = |job: &&Job| {
-            job.inherited && job.ended.is_none() && job.record.team.as_ref() == Some(team)
-        };
-        let mut sum = Resources::ZERO;
-        for job in self.jobs.values().filter(of_team) {
-            for occurrence in job.open_occurrences.values() {
-                for (step, spec) in occurrence.steps.iter().zip(&job.record.spec.steps) {
-                    sum = sum.plus(&spec.need.times(u64::from(step.waiting)));
-                }
-            }
-        }
-        sum
-    }
-
-    /// Requests advice on workers for tasks that found none.
-    fn request_advice(
-        &mut self,
-        key: &StepKey,
-        spec: &StepSpec,
-        queue: &QueuePolicy,
-        advice: AdvicePolicy,
-        tasks: usize,
-        now: Millis,
-    ) {
-        let may_ask = self.step(key).is_some_and(|step| step.advice.may_ask(now));
-        let shortest_ms = call_ms(&advice, 1);
-        if !may_ask || !self.callers.has_free(shortest_ms, now) || self.team_slots(key, spec) == 0 {
-            return;
-        }
-        let mut usable: Vec<AdviceCandidate> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.accepts(queue, spec, now) && worker.report.capacity.covers(&spec.charge())
-            })
-            .map(|(id, worker)| AdviceCandidate {
-                id: id.clone(),
-                incarnation_unix_ms: worker.incarnation_unix_ms,
-                slots: worker.slots(key, spec),
-            })
-            .collect();
-        usable.sort_by_key(|one| std::cmp::Reverse(one.slots));
-        let Some(step) = self.step(key) else { return };
-        let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(&advice, 8) as u64);
-        let lead_ms = lead_ms.min(Millis(advice.valid_ms.0 / 2));
-        let workers = step.advice.workers_to_ask(&usable, tasks as u64, lead_ms, now);
-        if workers.is_empty() {
-            return;
-        }
-        let duration_ms = call_ms(&advice, workers.len());
-        let Some((caller, call)) = self.callers.reserve(duration_ms, now) else { return };
-        if let Some(step) = self.step_mut(key) {
-            step.advice.call_pending = true;
-            step.advice.calls += 1;
-        }
-        event!("advice.requested", "step" => key.to_string(), "workers" => workers.len(),
-            "machine" => caller.as_str(), "takes_ms" => duration_ms, "tasks" => tasks);
-        self.actions.push(Action::RequestAdvice { caller, call, step: key.clone(), workers });
-    }
 }
 
 /// Whether a task that waits has failed as often as allowed: its last failure was reported before
@@ -453,16 +249,21 @@
     })
 }
 
-/// Steps of an occurrence that have tasks to start and whose earlier steps are done: index, work
-/// left on the critical path from there, and whether the tasks are long-running.
-fn ready_steps(
-    job: &mut Job,
-    number: u32,
-    unseen_runs: bool,
-    now: Millis,
-) -> Vec<(u16, Millis, bool)> {
+/// A step that has tasks to start and whose earlier steps are done.
+struct ReadyStep {
+    index: u16,
+    /// Work left on the critical path from this step.
+    left_ms: Millis,
+    long_running: bool,
+    waiting_since_ms: Millis,
+}
+
+fn ready_steps(job: &mut Job, number: u32, unseen_runs: bool, now: Millis) -> Vec<ReadyStep> {
     let record = job.record.clone();
     let Some(occurrence) = job.open_occurrences.get_mut(&number) else { return Vec::new() };
+    if occurrence.steps.iter().all(|step| step.waiting == 0) {
+        return Vec::new();
+    }
     let done: Vec<bool> = occurrence.steps.iter().map(Step::is_done).collect();
     let mut ready = Vec::new();
     for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
@@ -472,27 +273,13 @@
             continue;
         }
         step.ready_ms.get_or_insert(now);
-        let Ok(index) = u16::try_from(index) else { continue };
-        ready.push((index, critical_path_from(&record.spec.steps, index), spec.long_running));
+        let Ok(number) = u16::try_from(index) else { continue };
+        ready.push(ReadyStep {
+            index: number,
+            left_ms: job.left_from_ms.get(index).copied().unwrap_or_default(),
+            long_running: spec.long_running,
+            waiting_since_ms: step.waiting_since_ms(),
+        });
     }
     ready
 }
-
-/// Declared run time of the longest chain that begins with a step.
-fn critical_path_from(steps: &[StepSpec], first: u16) -> Millis {
-    let mut chain_ends: Vec<Option<u64>> = vec![None; steps.len()];
-    for (index, step) in steps.iter().enumerate() {
-        let before = if index == usize::from(first) {
-            Some(0)
-        } else {
-            step.after
-                .iter()
-                .filter_map(|earlier| chain_ends.get(usize::from(*earlier)).copied().flatten())
-                .max()
-        };
-        if let Some(slot) = chain_ends.get_mut(index) {
-            *slot = before.map(|before| before + step.estimate_ms.0);
-        }
-    }
-    Millis(chain_ends.into_iter().flatten().max().unwrap_or(0))
-}
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -77,6 +77,8 @@
     pub(crate) missed_polls: u32,
     /// Times that its start was sent again.
     pub(crate) resends: u32,
+    /// Declared run time; 0 for a long-running task.
+    pub(crate) estimate_ms: Millis,
 }
 
 /// A worker as this leader knows it.
--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -40,6 +40,11 @@
 
 fn run_schedule(seed: u64) -> Vec<String> {
     let mut sim = Simulation::new(seed, policy(), generate_workers(9), faults(seed), FAULTS_END_MS);
+    // In a third of the schedules calls to the advisor take their time, and it denies workers.
+    if seed % 3 == 2 {
+        sim.advisor.scarce = true;
+        sim.advisor.denied_percent = 40;
+    }
     for (at, record) in generate_jobs(seed, 60, Millis(18_000)) {
         sim.submit_at(at, record);
     }
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 //! and loses messages. Invariants are checked from what the workers see.
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+mod advisor;
 mod checks;
 mod load;
 mod worker;
@@ -11,14 +12,15 @@
 use std::rc::Rc;
 
 use cell::{
-    Action, Batch, Cell, CellSettings, JobRecord, Policy, PollAnswer, PollOrder, Progress,
-    RosterRow, StartAnswer, StartOrder, StepKey, StopOrder,
+    Action, AdvicePolicy, Batch, Cell, CellSettings, JobRecord, Policy, PollAnswer, PollOrder,
+    Progress, RosterRow, StartAnswer, StartOrder, StepKey, StopOrder,
 };
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
 use libs::rand::{Rng, SeedableRng};
 use types::{JobId, Millis, WorkerId};
 
+pub use advisor::Advisor;
 pub use checks::Checks;
 pub use worker::Worker;
 
@@ -120,6 +122,11 @@
     batch_in_progress: bool,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub checks: Checks,
+    pub advisor: Advisor,
+    /// Least time between two scheduling rounds.
+    pub round_ms: Millis,
+    last_round_ms: Millis,
+    machines: Vec<CompactString>,
 }
 
 impl Simulation {
@@ -148,6 +155,10 @@
             batch_in_progress: false,
             workers: workers.into_iter().map(|worker| (worker.id.clone(), worker)).collect(),
             checks: Checks::new(policy),
+            advisor: Advisor::default(),
+            round_ms: Millis(0),
+            last_round_ms: Millis(0),
+            machines: ["one", "two", "three", "four"].map(Into::into).into(),
         };
         sim.elect();
         sim.after(TICK_MS, Event::Tick);
@@ -159,6 +170,14 @@
         sim
     }
 
+    /// Sets the machines that can call the advisor.
+    pub fn set_machines(&mut self, names: &[&str]) {
+        self.machines = names.iter().copied().map(Into::into).collect();
+        for term in &mut self.terms {
+            term.cell.set_callers(&self.machines);
+        }
+    }
+
     pub fn submit_at(&mut self, at: Millis, record: JobRecord) {
         self.at(at, Event::Submit(Box::new(record)));
     }
@@ -195,6 +214,27 @@
         self.terms.last().map(|term| term.cell.explain(id, self.now)).unwrap_or_default()
     }
 
+    /// Whether the advisor allows enough workers for each step of a job, if they are empty.
+    pub fn can_run(&self, id: &JobId) -> bool {
+        let Some(record) = self.stored_jobs.get(id) else { return false };
+        let service = &self.policy.queues[&record.queue].service;
+        (0u16..).zip(&record.spec.steps).all(|(index, spec)| {
+            let key = StepKey { job: id.clone(), occurrence: 0, step: index };
+            let slots: u64 = self
+                .workers
+                .values()
+                .filter(|worker| worker.service == *service)
+                .filter(|worker| self.advisor.allows(&key, &worker.id))
+                .map(|worker| {
+                    (0..)
+                        .take_while(|count| worker.capacity.covers(&spec.need.times(count + 1)))
+                        .count() as u64
+                })
+                .sum();
+            slots >= if spec.gang { u64::from(spec.tasks) } else { 1 }
+        })
+    }
+
     /// Whether a job runs until it is cancelled.
     pub fn is_long_running(&self, id: &JobId) -> bool {
         self.stored_jobs
@@ -254,8 +294,7 @@
         };
         let mut cell = Cell::new(settings, epoch, UNIX_START_MS);
         cell.set_policy(self.policy.clone());
-        let machines: Vec<CompactString> = ["one", "two", "three", "four"].map(Into::into).into();
-        cell.set_callers(&machines);
+        cell.set_callers(&self.machines);
         for record in self.stored_jobs.values() {
             cell.restore(record.clone(), self.stored_progress.get(&record.id), self.now);
         }
@@ -283,6 +322,10 @@
 
     fn schedule(&mut self) {
         let now = self.now;
+        if self.round_ms > Millis(0) && now < self.last_round_ms + self.round_ms {
+            return;
+        }
+        self.last_round_ms = now;
         let mut actions = Vec::new();
         for term in &mut self.terms {
             term.cell.schedule(now);
@@ -338,14 +381,22 @@
             }
             Action::Pace(_) => {}
             Action::Poll(worker) => self.send_poll(term, worker),
-            Action::RequestAdvice { call, step, workers, .. } => {
+            Action::RequestAdvice { caller, call, step, workers } => {
                 let answered = !self.chance(self.faults.lose_answer);
-                self.after(30, Event::Advised { term, call, step, workers, answered });
+                let policy = self.queue_advice(&step);
+                let took_ms =
+                    self.advisor.call(caller, &step, policy.as_ref(), workers.len(), self.now);
+                self.after(took_ms.0, Event::Advised { term, call, step, workers, answered });
             }
             Action::Deposed => self.terms.retain(|one| one.epoch != term),
         }
     }
 
+    fn queue_advice(&self, step: &StepKey) -> Option<AdvicePolicy> {
+        let record = self.stored_jobs.get(&step.job)?;
+        self.policy.queues.get(&record.queue)?.advice
+    }
+
     fn send_poll(&mut self, term: u64, worker: WorkerId) {
         let now = self.now;
         let Some(order) = self.cell(term).and_then(|cell| cell.poll_order(&worker, false, now))
@@ -410,9 +461,13 @@
                 }
             }
             Event::Advised { term, call, step, workers, answered } => {
-                let allowed: Vec<(WorkerId, CompactString)> =
-                    workers.iter().map(|(id, _)| (id.clone(), "ticket".into())).collect();
-                let answer = answered.then_some((allowed.as_slice(), Millis(2_500)));
+                let valid_ms = self.queue_advice(&step).map_or(Millis(2_500), |own| own.valid_ms);
+                let allowed: Vec<(WorkerId, CompactString)> = workers
+                    .iter()
+                    .filter(|(id, _)| self.advisor.allows(&step, id))
+                    .map(|(id, _)| (id.clone(), "ticket".into()))
+                    .collect();
+                let answer = answered.then_some((allowed.as_slice(), valid_ms));
                 if let Some(cell) = self.cell(term) {
                     cell.advice_answered(call, &step, &workers, answer, now);
                 }
--- a/components/cell/tests/simulation/worker.rs
+++ b/components/cell/tests/simulation/worker.rs
@@ -34,6 +34,7 @@
 pub struct Worker {
     pub id: WorkerId,
     pub capacity: Resources,
+    pub service: CompactString,
     pub up: bool,
     pub draining: bool,
     pub partitioned_until_ms: Millis,
@@ -61,6 +62,7 @@
         Self {
             id: name.parse().expect("worker id"),
             capacity: Resources { cpu_milli, mem_mb: 64_000, accels: 0 },
+            service: "service".into(),
             up: true,
             draining: false,
             partitioned_until_ms: Millis(0),
@@ -85,7 +87,7 @@
             id: self.id.clone(),
             incarnation_unix_ms: self.incarnation_unix_ms,
             address: "127.0.0.1:1".parse().expect("address"),
-            service: "service".into(),
+            service: self.service.clone(),
             rack: None,
             labels: Vec::new(),
             capacity: self.capacity,
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -287,6 +287,7 @@
                 self.metrics.gauge("free_cpu_milli", free);
                 self.metrics.gauge("whole_cpu_milli", whole);
                 self.metrics.gauge("jobs_known", cell.jobs_known());
+                self.metrics.gauge("advisor_busy_percent", cell.advisor_busy_percent());
             }
             self.start_polling(&leader);
             leader.changed.notify_one();
