cluster: heartbeats, renewals, loading and retries at a hundred processes

The last postmortem named these as open, found by reading.

- An answer to a heartbeat listed all live peers: at 97 processes some 3.4 KB, 384 times a second, so a leader's link of 10 Mbit/s was full.
Now the whole list goes only to a process that knows fewer peers than there are; others get four at random.
- A renewal without an answer took 0.9 s of a lease of 1.2 s, and the next one came too late.
A renewal now starts in each period.
- A leader that could not load the state kept the lead for good.
It yields after 4 s and leaves the election to others.
- An unanswered write was sent again each 50 ms, also while the store refused calls for their number.
The delay now doubles up to 320 ms and is drawn at random.
- Peers known by name only counted as live in the first 1.5 s of a process.

--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -13,7 +13,7 @@
 
 use crate::codec::decode;
 use crate::keys;
-use crate::node::{Node, PEER_TIMEOUT_MS};
+use crate::node::{LEADER_COOLDOWN_MS, Node};
 use crate::ports::{Item, StoreError};
 
 /// Number of lease renewals per lease duration.
@@ -26,6 +26,9 @@
 const HAND_OVER_TIMEOUT_MS: Millis = Millis(300);
 /// Delay after a failed attempt to load the stored state.
 const LOAD_RETRY_DELAY_MS: Millis = Millis(100);
+/// Time after which a leader that cannot load the stored state yields: twice what the largest state
+/// takes on the slowest link.
+const MAX_LOAD_MS: Millis = Millis(4_000);
 /// Period of checking for a peer with much more CPU.
 const PEER_CHECK_PERIOD_MS: Millis = Millis(1_000);
 /// Period of [`Cell::tick`].
@@ -147,14 +150,9 @@
     async fn run_term(self: Rc<Self>, leader: Rc<Leader>) {
         let renewing = self.clone().renew_lease(leader.clone());
         let working = async {
-            let began_ms = clock::now();
-            while let Err(error) = self.load(&leader).await {
-                event!("leader.load_failed", "error" => error.to_string());
-                tokio::time::sleep(LOAD_RETRY_DELAY_MS.to_duration()).await;
+            if !self.load_or_yield(&leader).await {
+                return;
             }
-            event!("leader.loaded", "epoch" => leader.epoch,
-                "took_ms" => clock::now().since(began_ms).0);
-            leader.loaded.set(true);
             tokio::join!(
                 self.clone().watch_intake(leader.clone()),
                 self.clone().watch_workers(leader.clone()),
@@ -166,19 +164,52 @@
         tokio::join!(renewing, working, self.clone().yield_to_larger_peer());
     }
 
+    /// Loads the stored state. Returns `false` after giving up the lead, so that a process that
+    /// reaches the store better can take over.
+    async fn load_or_yield(self: &Rc<Self>, leader: &Rc<Leader>) -> bool {
+        let began_ms = clock::now();
+        while let Err(error) = self.load(leader).await {
+            let took_ms = clock::now().since(began_ms);
+            event!("leader.load_failed", "error" => error.to_string(), "took_ms" => took_ms.0);
+            if took_ms > MAX_LOAD_MS {
+                self.cooldown_until_ms.set(clock::now() + LEADER_COOLDOWN_MS);
+                let node = self.clone();
+                tokio::task::spawn_local(async move {
+                    node.step_down("cannot load the stored state").await;
+                });
+                return false;
+            }
+            tokio::time::sleep(LOAD_RETRY_DELAY_MS.to_duration()).await;
+        }
+        event!("leader.loaded", "epoch" => leader.epoch,
+            "took_ms" => clock::now().since(began_ms).0);
+        leader.loaded.set(true);
+        true
+    }
+
+    /// Renews the lease. A renewal starts in each period, whether or not the one before was
+    /// answered: an answer that is lost takes most of the lease until the call times out.
     async fn renew_lease(self: Rc<Self>, leader: Rc<Leader>) {
         let period = Millis(self.settings.leader_lease_ms.0 / RENEWALS_PER_LEASE);
         loop {
             tokio::time::sleep(period.to_duration()).await;
-            let sent_ms = clock::now();
-            match self.store_result(self.ports.store.renew(leader.lease).await) {
-                Ok(()) => leader.confirmed_ms.set(sent_ms),
-                Err(StoreError::LeaseGone) => {
-                    self.end_term("the lease has expired or was revoked");
-                    return;
+            let renewal = self.clone().renew_once(leader.clone());
+            let token = leader.token.clone();
+            tokio::task::spawn_local(async move {
+                tokio::select! {
+                    () = renewal => {}
+                    () = token.cancelled() => {}
                 }
-                Err(_recorded) => {}
-            }
+            });
+        }
+    }
+
+    async fn renew_once(self: Rc<Self>, leader: Rc<Leader>) {
+        let sent_ms = clock::now();
+        match self.store_result(self.ports.store.renew(leader.lease).await) {
+            Ok(()) => leader.confirmed_ms.set(leader.confirmed_ms.get().max(sent_ms)),
+            Err(StoreError::LeaseGone) => self.end_term("the lease has expired or was revoked"),
+            Err(_recorded) => {}
         }
     }
 
@@ -200,8 +231,7 @@
         let now = clock::now();
         let held_until = leader.confirmed_ms.get() + self.settings.leader_lease_ms;
         let peers = self.peers.borrow();
-        let mut live =
-            peers.values().filter(|state| now.since(state.last_heartbeat_ms) < PEER_TIMEOUT_MS);
+        let mut live = peers.values().filter(|state| state.is_live(now));
         let known = peers.len();
         let live_count = live.clone().count();
         let none_reached_store = live.all(|state| state.store_answered_ms < held_until);
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -26,16 +26,21 @@
 /// Peers that a process without the store contacts in each round. A round reaches a peer with the
 /// store with a probability of 98% while a third of the processes has lost it.
 const CONTACTED_PEERS: usize = 4;
+/// Peers in a heartbeat to a process that knows as many as the sender. All of a hundred are reported
+/// within half a minute, so that replaced ones become known.
+const REPORTED_PEERS: usize = 4;
+/// A heartbeat that starts an exchange reports few peers; the answer has the list.
+const NO_PEERS_WANTED: usize = usize::MAX;
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT_MS: Millis = Millis(350);
 /// Period of searching for a leader while none is known.
 const SEARCH_PERIOD_MS: Millis = Millis(100);
 /// A peer without a heartbeat for this long is not considered live.
-pub(crate) const PEER_TIMEOUT_MS: Millis = Millis(1_500);
+const PEER_TIMEOUT_MS: Millis = Millis(1_500);
 /// A gap between two ticks that is logged as a pause of the process.
 const STALL_MS: Millis = Millis(700);
-/// Time for which a process that was too slow to lead does not stand for election.
-const LEADER_COOLDOWN_MS: Millis = Millis(30_000);
+/// Time for which a process that was too slow to lead, or could not load the state, does not stand for election.
+pub(crate) const LEADER_COOLDOWN_MS: Millis = Millis(30_000);
 /// Number of processes in cooldown at which no further hand-over takes place: the load is then too
 /// high for any process, and a hand-over would only cost time.
 const MAX_COOLING_DOWN: usize = 2;
@@ -66,13 +71,20 @@
 /// Last known state of a peer.
 pub(crate) struct PeerState {
     pub(crate) peer: Peer,
-    pub(crate) last_heartbeat_ms: Millis,
+    /// `None` for a peer that is known from others only.
+    pub(crate) last_heartbeat_ms: Option<Millis>,
     /// When the store last answered this peer.
     pub(crate) store_answered_ms: Millis,
     /// The peer recently handed over leadership because it was too slow.
     pub(crate) cooling_down: bool,
 }
 
+impl PeerState {
+    pub(crate) fn is_live(&self, now: Millis) -> bool {
+        self.last_heartbeat_ms.is_some_and(|last| now.since(last) < PEER_TIMEOUT_MS)
+    }
+}
+
 /// One process of the cluster.
 pub struct Node {
     /// Weak self-reference for spawned tasks.
@@ -192,7 +204,9 @@
         result
     }
 
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
+    /// State to report to a peer that knows `known_peers` processes. It gets all live peers if it
+    /// knows fewer than these, otherwise some.
+    pub(crate) fn heartbeat(&self, known_peers: usize) -> Heartbeat {
         let now = clock::now();
         let rules = self.rules.borrow();
         Heartbeat {
@@ -203,11 +217,22 @@
             rules_revision: rules.raw.revision,
             rules_age_ms: rules.age_ms(now),
             store_age_ms: now.since(self.store_answered_ms.get()),
-            peers: self.live_peers(),
+            peers: self.peers_to_report(known_peers),
+            known_peers: self.peers.borrow().len(),
             cooling_down: self.cooling_down(),
         }
     }
 
+    /// A leader answers every process four times a second, so that the whole list each time would
+    /// fill a link of 10 Mbit/s at some 90 processes.
+    fn peers_to_report(&self, known_peers: usize) -> Vec<Peer> {
+        let live = self.live_peers();
+        if known_peers < live.len() {
+            return live;
+        }
+        live.choose_multiple(&mut rand::rng(), REPORTED_PEERS).cloned().collect()
+    }
+
     /// Peers with a recent heartbeat, without this process.
     pub(crate) fn live_peers(&self) -> Vec<Peer> {
         self.live_states(&self.peers.borrow()).map(|state| state.peer.clone()).collect()
@@ -218,7 +243,7 @@
         peers: &'a BTreeMap<CompactString, PeerState>,
     ) -> impl Iterator<Item = &'a PeerState> + use<'a> {
         let now = clock::now();
-        peers.values().filter(move |state| now.since(state.last_heartbeat_ms) < PEER_TIMEOUT_MS)
+        peers.values().filter(move |state| state.is_live(now))
     }
 
     /// Updates the local state from a peer's heartbeat, which answers a request that was sent at
@@ -227,7 +252,7 @@
         let now = clock::now();
         let state = PeerState {
             peer: heartbeat.from.clone(),
-            last_heartbeat_ms: now,
+            last_heartbeat_ms: Some(now),
             store_answered_ms: now - heartbeat.store_age_ms,
             cooling_down: heartbeat.cooling_down,
         };
@@ -236,7 +261,7 @@
             if peer.name != self.settings.name {
                 self.peers.borrow_mut().entry(peer.name.clone()).or_insert_with(|| PeerState {
                     peer: peer.clone(),
-                    last_heartbeat_ms: Millis(0),
+                    last_heartbeat_ms: None,
                     store_answered_ms: Millis(0),
                     cooling_down: false,
                 });
@@ -292,7 +317,7 @@
         if leader.incarnation == self.incarnation {
             return false;
         }
-        let message = Message::Heartbeat(self.heartbeat());
+        let message = Message::Heartbeat(self.heartbeat(NO_PEERS_WANTED));
         let sent_ms = clock::now();
         match self.send(leader.peer.address, &message, HEARTBEAT_TIMEOUT_MS).await {
             Ok(Answer::Heartbeat(heartbeat)) => {
@@ -317,7 +342,7 @@
     }
 
     async fn contact_peer(&self, address: SocketAddr) {
-        let message = Message::Heartbeat(self.heartbeat());
+        let message = Message::Heartbeat(self.heartbeat(NO_PEERS_WANTED));
         let sent_ms = clock::now();
         if let Ok(Answer::Heartbeat(heartbeat)) =
             self.send(address, &message, HEARTBEAT_TIMEOUT_MS).await
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -58,8 +58,10 @@
     pub(crate) rules_age_ms: Millis,
     /// Time since the store last answered the sender.
     pub(crate) store_age_ms: Millis,
-    /// The sender's live peers.
+    /// Live peers of the sender, see [`Node::heartbeat`].
     pub(crate) peers: Vec<Peer>,
+    /// Number of processes that the sender knows.
+    pub(crate) known_peers: usize,
     /// Whether the sender recently handed over leadership because it was too slow.
     pub(crate) cooling_down: bool,
 }
@@ -173,7 +175,7 @@
         match message {
             Message::Heartbeat(heartbeat) => {
                 self.record_heartbeat(&heartbeat, None);
-                Answer::Heartbeat(self.heartbeat())
+                Answer::Heartbeat(self.heartbeat(heartbeat.known_peers))
             }
             Message::Submitted(record) => self.if_leader(|node| {
                 node.on_job_accepted(*record);
--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -20,6 +20,11 @@
 const PROXY_TIMEOUT_MS: Millis = Millis(900);
 /// Time limit for resolving the outcome of an unanswered write. Callers wait at most 3 s.
 const RESOLVE_TIMEOUT_MS: Millis = Millis(1_800);
+/// First delay before an unanswered write is sent again; doubles with each further one, since the
+/// store also refuses calls because there are too many.
+const RESOLVE_RETRY_MS: Millis = Millis(40);
+/// Longest delay before an unanswered write is sent again.
+const MAX_RESOLVE_RETRY_MS: Millis = Millis(320);
 /// Consecutive failed calls after which this process considers the store unreachable.
 const STORE_DOWN_FAILURES: u32 = 2;
 /// Maximum age of a cached number of pending jobs.
@@ -136,6 +141,7 @@
     async fn commit_with_retry(&self, transaction: &Transaction) -> SubmitOutcome {
         let until = clock::now() + RESOLVE_TIMEOUT_MS;
         let mut sent = false;
+        let mut delay_ms = RESOLVE_RETRY_MS;
         loop {
             match self.store_result(self.ports.store.commit(transaction).await) {
                 // A conflict means that the key exists: an earlier attempt has stored it.
@@ -147,7 +153,9 @@
             if clock::now() >= until {
                 return SubmitOutcome::Unknown;
             }
-            libs::tokio::time::sleep(Millis(50).to_duration()).await;
+            let jitter_ms = Millis(libs::rand::random_range(0..delay_ms.0));
+            libs::tokio::time::sleep((delay_ms + jitter_ms).to_duration()).await;
+            delay_ms = (delay_ms + delay_ms).min(MAX_RESOLVE_RETRY_MS);
         }
     }
 
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -25,6 +25,8 @@
 /// Duration of a call to a worker.
 const WORKER_CALL_MS: Millis = Millis(3);
 
+/// Time after which an unanswered renewal of a lease is given up.
+const RENEWAL_TIMEOUT_MS: Millis = Millis(900);
 /// Duration of an unanswered call, longer than any test.
 const UNANSWERED_CALL_MS: Millis = Millis(20_000);
 /// Longer than any test, so that no leader's lease expires.
@@ -46,6 +48,10 @@
     pub unanswered_polls: Cell<u32>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
+    /// Number of lease renewals still to be left unanswered for `RENEWAL_TIMEOUT_MS`.
+    pub unanswered_renewals: Cell<u32>,
+    /// Reads of several items fail, as on a link that loses long answers.
+    pub ranges_fail: Cell<bool>,
     /// All polls of workers fail.
     pub workers_are_unreachable: Cell<bool>,
     /// Number of polls that renewed leases.
@@ -168,6 +174,9 @@
     fn range<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, StoreResult<(Vec<Item>, u64)>> {
         Box::pin(async move {
             self.store_call().await?;
+            if self.0.ranges_fail.get() {
+                return Err(StoreError::Unanswered);
+            }
             let items = self.0.items.borrow();
             let found = items.values().filter(|(item, _)| item.key.starts_with(prefix));
             Ok((found.map(|(item, _)| item.clone()).collect(), self.0.revision.get()))
@@ -217,6 +226,12 @@
     fn renew(&self, lease: u64) -> LocalBoxFuture<'_, StoreResult<()>> {
         Box::pin(async move {
             self.store_call().await?;
+            let lost = self.0.unanswered_renewals.get();
+            if lost > 0 {
+                self.0.unanswered_renewals.set(lost - 1);
+                sleep(RENEWAL_TIMEOUT_MS).await;
+                return Err(StoreError::Unanswered);
+            }
             self.0.remove_expired();
             let mut leases = self.0.leases.borrow_mut();
             let (ttl_ms, until_ms) = leases.get_mut(&lease).ok_or(StoreError::LeaseGone)?;
@@ -399,11 +414,21 @@
 
 /// Creates a process that peers reach at the address.
 pub fn node_at(name: &str, peer_address: SocketAddr, ports: Ports) -> Rc<Node> {
+    node_with_lease(name, peer_address, ports, LEADER_LEASE_MS)
+}
+
+/// Creates a process whose lease as leader has the given duration.
+pub fn node_with_lease(
+    name: &str,
+    peer_address: SocketAddr,
+    ports: Ports,
+    leader_lease_ms: Millis,
+) -> Rc<Node> {
     let settings = NodeSettings {
         name: name.into(),
         peer_address,
         cpu_milli: 500,
-        leader_lease_ms: LEADER_LEASE_MS,
+        leader_lease_ms,
         cell: CellSettings {
             lease_ms: Millis(4_500),
             max_lease_ms: Millis(6_000),
