--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -38,8 +38,8 @@
 pub use budget::RetryBudget;
 pub use cell::{Cell, CellSettings};
 pub use model::{
-    AdvicePolicy, FinalState, JobRecord, JobSpec, JobStatus, Policy, Progress, QueuePolicy,
-    Recurrence, StepKey, StepProgress, StepSpec, TaskKey, TeamPolicy,
+    AdvicePolicy, FinalState, JobRecord, JobSpec, JobStatus, MAX_OCCURRENCES, MAX_TASKS, Policy,
+    Progress, QueuePolicy, Recurrence, StepKey, StepProgress, StepSpec, TaskKey, TeamPolicy,
 };
 pub use polling::{ActiveRun, EndedRun, Ending, PollAnswer};
 pub use roster::RosterRow;
--- a/components/cell/src/model.rs
+++ b/components/cell/src/model.rs
@@ -73,6 +73,24 @@
     pub recurrence: Option<Recurrence>,
 }
 
+/// Most tasks of one occurrence of a job. The state of a task takes about 100 bytes.
+pub const MAX_TASKS: u64 = 10_000;
+/// Most occurrences of a job.
+pub const MAX_OCCURRENCES: u32 = 10_000;
+
+impl JobSpec {
+    /// Returns why the job is too large to be accepted, if it is. A leader keeps the state of every
+    /// task in memory, so that a single job of many million tasks would end each leader in turn.
+    pub fn too_large(&self) -> Option<&'static str> {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if tasks > MAX_TASKS {
+            return Some("the job has too many tasks");
+        }
+        let occurrences = self.recurrence.map_or(0, |recurrence| recurrence.occurrences);
+        (occurrences > MAX_OCCURRENCES).then_some("the job has too many occurrences")
+    }
+}
+
 /// Duration of calls to the advisor, and validity of its tickets.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AdvicePolicy {
--- a/components/types/src/units.rs
+++ b/components/types/src/units.rs
@@ -84,12 +84,12 @@
         self.cpu_milli >= need.cpu_milli && self.mem_mb >= need.mem_mb && self.accels >= need.accels
     }
 
-    /// The sum of two amounts.
+    /// The sum of two amounts, saturating like all operations: callers declare any amount.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            mem_mb: self.mem_mb + other.mem_mb,
-            accels: self.accels + other.accels,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            mem_mb: self.mem_mb.saturating_add(other.mem_mb),
+            accels: self.accels.saturating_add(other.accels),
         }
     }
 
@@ -105,9 +105,9 @@
     /// The amount multiplied by `count`.
     pub fn times(&self, count: u64) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli * count,
-            mem_mb: self.mem_mb * count,
-            accels: self.accels * count,
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            mem_mb: self.mem_mb.saturating_mul(count),
+            accels: self.accels.saturating_mul(count),
         }
     }
 
