The leader's processor time: complete steps, lines and rounds cost less; slow leaders hand over sooner

A profile of the cell at 1,030 starts/s on 540 workers: scheduling rounds 17% of a core, polls 7%, of which 5 for looking for other runs of a task that is done.

Change - The detector sums up how late ticks are: two seconds instead of seven at 500 ms. - Other runs of a finished task are looked for only if there can be some. - A log line is written without an intermediate map. - A scheduling round is followed by a pause of three times its length, at most 50 ms.

Ruled out: the advisor (0.13 s a second of 97), lost workers.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -250,6 +250,11 @@
         self.open_jobs.remove(id);
         self.dirty.insert(id.clone());
         self.needs_scheduling = true;
+        // All tasks of a completed job have ended, but for other members of a gang.
+        let has_gang = job.record.spec.steps.iter().any(|step| step.gang);
+        if end == FinalState::Completed && !has_gang {
+            return;
+        }
         let running: Vec<(WorkerId, TaskKey)> = self
             .workers
             .iter()
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -139,14 +139,16 @@
     /// complete.
     fn complete_task(&mut self, end: &EndedRun, now: Millis) {
         let key = &end.task;
-        let others: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.runs.contains_key(key))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in others {
-            self.stop_run(&id, key, "task done on another worker", now);
+        if self.may_run_elsewhere(end) {
+            let others: Vec<_> = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.runs.contains_key(key))
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in others {
+                self.stop_run(&id, key, "task done on another worker", now);
+            }
         }
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         if job.close_if_done(key.step.occurrence) {
@@ -155,4 +157,17 @@
             self.end_job(&key.step.job, FinalState::Completed, now);
         }
     }
+
+    /// Whether another run of a task that is done may exist: not if the one that ended was its only
+    /// one, and was started by this leader.
+    fn may_run_elsewhere(&self, end: &EndedRun) -> bool {
+        let key = &end.task;
+        let Some(job) = self.jobs.get(&key.step.job) else { return true };
+        let step = job.step(key.step.occurrence, key.step.step);
+        let last = step.and_then(|step| step.tasks.get(key.index as usize));
+        let only_attempt = Cell::next_attempt(self.epoch, 0);
+        job.inherited
+            || end.attempt != only_attempt
+            || last.is_none_or(|task| task.attempt != only_attempt)
+    }
 }
--- a/components/cluster/src/lag.rs
+++ b/components/cluster/src/lag.rs
@@ -8,14 +8,16 @@
 
 /// A periodic task that runs at least this late indicates a shortage of processor time.
 const LATE_TICK_MS: Millis = Millis(60);
-/// Surplus of late ticks over ticks on time at which leadership is handed over. Short load peaks
-/// stay below this limit.
-const LATE_TICK_LIMIT: u32 = 12;
+/// Lateness made up for by a tick on time.
+const MADE_UP_MS: Millis = Millis(100);
+/// Sum of the lateness, less what was made up for, at which leadership is handed over. Load peaks of
+/// a second stay below this limit.
+const LATENESS_LIMIT_MS: Millis = Millis(1_400);
 
-/// Counts how often a periodic task runs late.
+/// Sums up how late a periodic task runs. Counting late ticks would take longer the later they are.
 #[derive(Debug, Default)]
 pub struct LagDetector {
-    late_ticks: u32,
+    lateness_ms: Millis,
 }
 
 impl LagDetector {
@@ -23,15 +25,15 @@
     /// lead.
     pub fn record_tick(&mut self, late_by_ms: Millis) -> bool {
         if late_by_ms >= LATE_TICK_MS {
-            self.late_ticks += 1;
+            self.lateness_ms = self.lateness_ms + late_by_ms;
         } else {
-            self.late_ticks = self.late_ticks.saturating_sub(1);
+            self.lateness_ms = self.lateness_ms - MADE_UP_MS;
         }
-        self.late_ticks >= LATE_TICK_LIMIT
+        self.lateness_ms >= LATENESS_LIMIT_MS
     }
 
     /// Discards all recorded ticks.
     pub fn reset(&mut self) {
-        self.late_ticks = 0;
+        self.lateness_ms = Millis(0);
     }
 }
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -33,6 +33,9 @@
 const PEER_CHECK_PERIOD_MS: Millis = Millis(1_000);
 /// Period of [`Cell::tick`].
 const TICK_MS: Millis = Millis(100);
+/// Time between two placement rounds, in durations of the last one, and at most.
+const PAUSE_FACTOR: u64 = 3;
+const MAX_PAUSE_MS: Millis = Millis(50);
 /// Shortest time between two placement rounds, so that one round serves many events.
 const MIN_ROUND_MS: Millis = Millis(4);
 
@@ -340,10 +343,11 @@
                 self.execute(&leader, action);
             }
             leader.store_requested.notify_one();
-            // Waits at least as long as the round took, so that answers are processed in between.
+            // Most of the time is left to answers: a busy leader serves more of them in a round.
             let took_ms = clock::now().since(began_ms);
             self.metrics.time_ms("placement_round_ms", took_ms.0);
-            tokio::time::sleep(MIN_ROUND_MS.max(took_ms).to_duration()).await;
+            let pause_ms = Millis(took_ms.0 * PAUSE_FACTOR).min(MAX_PAUSE_MS).max(MIN_ROUND_MS);
+            tokio::time::sleep(pause_ms.to_duration()).await;
         }
     }
 }
--- a/components/cluster/tests/lag.rs
+++ b/components/cluster/tests/lag.rs
@@ -17,3 +17,12 @@
     let ticks = (0..30).take_while(|_| !watch.record_tick(Millis(120))).count();
     assert!(ticks * (100 + 120) < 3_000, "{ticks} ticks");
 }
+
+/// A leader that was slowed to a fifth took 4.5 s to hand over, since each of its ticks came 0.5 s
+/// late.
+#[test]
+fn detects_a_very_slow_machine_within_two_seconds() {
+    let mut watch = LagDetector::default();
+    let ticks = (0..30).take_while(|_| !watch.record_tick(Millis(500))).count();
+    assert!(ticks * (100 + 500) < 2_000, "{ticks} ticks");
+}
--- a/components/eventlog/src/lib.rs
+++ b/components/eventlog/src/lib.rs
@@ -3,18 +3,21 @@
 //! Lines pass through a bounded queue to a writer thread. When the queue is full, lines are
 //! dropped and counted, so that logging never blocks the caller.
 
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use libs::crossbeam_channel::{Receiver, Sender, bounded};
-use libs::serde_json::{Map, Value};
+use libs::serde_json::Value;
 use types::Millis;
 
 /// Capacity of the queue, enough for several seconds of decisions at peak load.
 const QUEUE_CAPACITY_LINES: usize = 8_192;
+/// Initial capacity of a line; most are shorter.
+const LINE_CAPACITY_BYTES: usize = 256;
 /// Interval between writes, which batches lines into few system calls.
 const WRITE_INTERVAL_MS: Millis = Millis(100);
 /// Maximum size of a write: `PIPE_BUF` on Linux. Longer writes to a pipe may be split or truncated.
@@ -48,14 +51,16 @@
     }
 }
 
+/// Formats a line without an intermediate map: a leader logs thousands of lines a second.
 fn format_line(event: &str, fields: &[(&str, Value)]) -> String {
-    let mut line = Map::new();
-    line.insert("t_unix_ms".to_owned(), unix_ms().into());
-    line.insert("event".to_owned(), event.into());
+    let mut line = String::with_capacity(LINE_CAPACITY_BYTES);
+    // Writing to a string cannot fail. Field names are literals that need no escaping.
+    let _ = write!(line, "{{\"t_unix_ms\":{},\"event\":{}", unix_ms(), Value::from(event));
     for (name, value) in fields {
-        line.insert((*name).to_owned(), value.clone());
+        let _ = write!(line, ",\"{name}\":{value}");
     }
-    Value::Object(line).to_string()
+    line.push('}');
+    line
 }
 
 /// Waits until the lines queued so far are written. To be called before the process exits.
