Ends of runs are stored in order and seen at once

After each reported end the next poll of the worker came 60 ms later, and 260 ms later if the end was not stored by then; jobs were stored in the order of their ids, 28 each 26 ms, so that those with high ids waited for as long as others kept changing. Ruled out: slow workers (p50 485 ms before the burst on the same ones), the workers' own answer times.

Change - Jobs are stored in the order of their first change, ended ones first. Test: batches.rs, which fails before. - A worker is polled again as soon as its ends are stored, after 100 ms at the latest, and after 200 ms more only while the store fails. Test: polling.rs. - Full batches follow each other without a pause. - The delay between calls for advice of a step doubles while none of its tasks starts: one step made 113 calls of 14 ms.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -35,8 +35,11 @@
 /// Delay before the next call after a failed one.
 const RETRY_MS: Millis = Millis(200);
 /// Delay before the next call of a step after an answer, in durations of the last one: no step
-/// takes more than a third of a machine's time at the advisor.
+/// takes more than a third of a machine's time at the advisor. It doubles with each call after which
+/// no task started, up to half the validity of the tickets.
 const CALL_SPACING: f64 = 2.0;
+/// Most doublings of the delay.
+const MAX_DOUBLINGS: u32 = 6;
 
 /// Permission to run a step on a worker.
 #[derive(Debug, Clone)]
@@ -53,8 +56,9 @@
     denied: BTreeSet<WorkerId>,
     /// Duration of the call in progress.
     call_pending_ms: Option<f64>,
-    /// Number of calls made.
+    /// Number of calls made, and of those since a task last started.
     pub(crate) calls: u32,
+    unused_calls: u32,
     not_before_ms: Millis,
 }
 
@@ -110,6 +114,12 @@
     pub(crate) fn call_started(&mut self, duration_ms: f64) {
         self.call_pending_ms = Some(duration_ms);
         self.calls += 1;
+        self.unused_calls += 1;
+    }
+
+    /// Records that a task of the step started.
+    pub(crate) fn task_started(&mut self) {
+        self.unused_calls = 0;
     }
 
     /// Records an answer. Returns how many workers it named for the first time, and how many of
@@ -122,7 +132,9 @@
         now: Millis,
     ) -> (usize, usize) {
         let duration_ms = self.call_pending_ms.take().unwrap_or_default();
-        self.not_before_ms = now + Millis((duration_ms * CALL_SPACING) as u64);
+        let doublings = self.unused_calls.saturating_sub(1).min(MAX_DOUBLINGS);
+        let spacing_ms = duration_ms * CALL_SPACING * f64::from(1 << doublings);
+        self.not_before_ms = now + Millis(spacing_ms as u64).min(expires_ms.since(now).half());
         let (mut new, mut new_allowed) = (0, 0);
         for (worker, incarnation_unix_ms) in asked {
             let answer = allowed.iter().find(|(id, _)| id == worker);
--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -1,6 +1,6 @@
 //! Batches of job progress to store, and the run ends that may be acknowledged once stored.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use eventlog::event;
 use types::{JobId, Millis, WorkerId};
@@ -32,6 +32,29 @@
     pub ends: Vec<StoredEnd>,
 }
 
+/// Jobs that changed since they were last stored.
+#[derive(Debug, Default)]
+pub(crate) struct DirtyJobs {
+    /// Number of the first change of each job.
+    first_changes: BTreeMap<JobId, u64>,
+    changes: u64,
+}
+
+impl DirtyJobs {
+    pub(crate) fn mark(&mut self, id: &JobId) {
+        self.changes += 1;
+        self.first_changes.entry(id.clone()).or_insert(self.changes);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.first_changes.len()
+    }
+
+    pub(crate) fn contains(&self, id: &JobId) -> bool {
+        self.first_changes.contains_key(id)
+    }
+}
+
 impl Cell {
     /// Takes the next batch of at most `limit` jobs. None if nothing changed, or while the
     /// previous batch is neither stored nor failed, since its changes are not durable yet.
@@ -44,7 +67,7 @@
             return None;
         }
         for id in &ids {
-            self.dirty.remove(id);
+            self.dirty.first_changes.remove(id);
         }
         let records: Vec<Progress> =
             ids.iter().filter_map(|id| self.jobs.get(id)).map(Job::progress).collect();
@@ -61,11 +84,18 @@
         Some(Batch { records, ends })
     }
 
-    /// Changed jobs to store next. Ended jobs come first, since callers wait for the end.
+    /// Changed jobs to store next. Ended jobs come first, since callers wait for the end, then those
+    /// that have waited longest: until a job is stored, no later end of its workers is acknowledged.
     fn next_to_store(&self, limit: usize) -> BTreeSet<JobId> {
-        let ended = |id: &&JobId| self.jobs.get(*id).is_some_and(|job| job.ended.is_some());
-        let (first, then): (Vec<&JobId>, Vec<&JobId>) = self.dirty.iter().partition(ended);
-        first.into_iter().chain(then).take(limit).cloned().collect()
+        let has_ended = |id: &JobId| self.jobs.get(id).is_some_and(|job| job.ended.is_some());
+        let mut ordered: Vec<(bool, u64, &JobId)> = self
+            .dirty
+            .first_changes
+            .iter()
+            .map(|(id, number)| (!has_ended(id), *number, id))
+            .collect();
+        ordered.sort_unstable();
+        ordered.into_iter().take(limit).map(|(.., id)| id.clone()).collect()
     }
 
     /// Records that a batch was stored.
@@ -93,7 +123,9 @@
     /// Records that a batch was not stored, or that this is unknown. Its jobs are stored again.
     pub fn batch_failed(&mut self, batch: &Batch) {
         self.batch_in_flight = false;
-        self.dirty.extend(batch.records.iter().map(|record| record.id.clone()));
+        for record in &batch.records {
+            self.dirty.mark(&record.id);
+        }
     }
 
     /// Removes ended jobs whose retention time has passed, and returns their ids.
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -10,6 +10,7 @@
 use crate::action::Action;
 use crate::advice::{AllowRates, call_ms};
 use crate::aging::Turns;
+use crate::batch::DirtyJobs;
 use crate::budget::RetryBudget;
 use crate::callers::Callers;
 use crate::job::{Job, Step};
@@ -59,7 +60,7 @@
     /// Workers that take no other work in the current round than the steps whose turn it is.
     pub(crate) held_workers: BTreeSet<WorkerId>,
     pub(crate) turns: Turns,
-    pub(crate) dirty: BTreeSet<JobId>,
+    pub(crate) dirty: DirtyJobs,
     /// A batch was taken, and whether it is stored is not known yet.
     pub(crate) batch_in_flight: bool,
     pub(crate) actions: Vec<Action>,
@@ -100,7 +101,7 @@
             rooms: Rooms::default(),
             held_workers: BTreeSet::new(),
             turns: Turns::default(),
-            dirty: BTreeSet::new(),
+            dirty: DirtyJobs::default(),
             batch_in_flight: false,
             actions: Vec::new(),
             recovering: true,
@@ -248,7 +249,7 @@
         job.ended_ms = now;
         job.open_occurrences.clear();
         self.open_jobs.remove(id);
-        self.dirty.insert(id.clone());
+        self.dirty.mark(id);
         self.needs_scheduling = true;
         // All tasks of a completed job have ended, but for other members of a gang.
         let has_gang = job.record.spec.steps.iter().any(|step| step.gang);
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -96,7 +96,7 @@
         if inherited {
             task.attempt = end.attempt;
         }
-        self.dirty.insert(key.step.job.clone());
+        self.dirty.mark(&key.step.job);
         match end.ending {
             Ending::Done if spec.long_running => task.not_before_ms = now + LONG_RUNNING_RETRY_MS,
             Ending::Done => {
--- a/components/cell/src/queries.rs
+++ b/components/cell/src/queries.rs
@@ -38,6 +38,11 @@
         })
     }
 
+    /// Number of jobs that changed since they were last stored.
+    pub fn dirty_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Machines that are waiting for an answer of the advisor, in percent.
     pub fn advisor_busy_percent(&self) -> u64 {
         self.callers.busy_percent()
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -39,6 +39,7 @@
         let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
         step.set_phase(key.index, Phase::Placed(worker_id.clone()));
         step.last_start_ms = now;
+        step.advice.task_started();
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
         task.attempt = attempt;
         let checkpoint = task.checkpoint.clone();
--- a/components/cell/tests/batches.rs
+++ b/components/cell/tests/batches.rs
@@ -134,3 +134,34 @@
     cell.batch_stored(&second);
     assert_eq!(ack(&mut cell), 2);
 }
+
+/// Jobs with low ids change all the time. An end of another job that is not stored for long keeps
+/// the worker from acknowledging its later ends, and the leader from waiting for them.
+#[test]
+fn jobs_are_stored_in_the_order_of_their_first_change() {
+    let mut cell = cell_with_job(2);
+    let wide = StepSpec { tasks: 20, estimate_ms: Millis(100), ..StepSpec::default() };
+    for job_id in ["0000000000000001", "00000000000000ff"] {
+        cell.add_job(job(job_id, "batch", "large", vec![wide.clone()]), NOW);
+    }
+    for name in ["w0", "w1"] {
+        cell.worker_listed(worker(name), NOW);
+    }
+    let end = |job_id: &str, sequence: u64, index| EndedRun {
+        task: task(job_id, 0, index),
+        ..ended(sequence, 0, 1, Ending::Done)
+    };
+    let other = poll_answer(vec![end("00000000000000ff", 1, 0)]);
+    cell.poll_answered(&id("w0"), NOW, &other, NOW);
+    let mut batches = 0;
+    while cell.poll_order(&id("w0"), false, NOW).expect("known").ack == 0 {
+        batches += 1;
+        assert!(batches < 3, "the end is never stored");
+        let sequence = u64::from(batches);
+        let busy = poll_answer(vec![end("0000000000000001", sequence, batches)]);
+        let sent = Millis(NOW.0 + sequence);
+        cell.poll_answered(&id("w1"), sent, &busy, sent);
+        let batch = cell.take_batch(1).expect("a change to store");
+        cell.batch_stored(&batch);
+    }
+}
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -61,6 +61,8 @@
     pub(crate) hedge_budget: RefCell<RetryBudget>,
     /// Workers with a running polling loop.
     pub(crate) polled_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Notified when ends that a worker reported are stored.
+    pub(crate) ends_stored: RefCell<BTreeMap<WorkerId, Rc<Notify>>>,
     pub(crate) changed: Notify,
     pub(crate) store_requested: Notify,
     /// Held while a batch is stored, because each batch is conditional on the previous one.
@@ -93,6 +95,7 @@
             roster_revision: StdCell::new(None),
             hedge_budget: RefCell::default(),
             polled_workers: RefCell::default(),
+            ends_stored: RefCell::default(),
             changed: Notify::new(),
             store_requested: Notify::new(),
             storing: tokio::sync::Mutex::new(()),
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -24,6 +24,7 @@
 pub use lag::LagDetector;
 pub use local_rules::RulesProblem;
 pub use node::{Node, NodeSettings};
+pub use polling::{NextPoll, next_poll};
 pub use ports::{
     Access, Advice, Advisor, Change, Commit, Configuration, Directory, Item, LocalBoxFuture,
     PollOutcome, Ports, RawRules, Rules, Store, StoreError, StoreResult, Transaction, WorkerChange,
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -13,8 +13,7 @@
 use crate::node::Node;
 use crate::ports::{Commit, StoreError, Transaction};
 
-/// Shortest time between two batches. Runs that end within it share a call, and other writes of the
-/// leader are not starved by a backlog of batches.
+/// Time between two batches while the next one is not full. Runs that end within it share a call.
 const BATCH_PERIOD_MS: Millis = Millis(20);
 /// Delay after a failed batch.
 const RETRY_DELAY_MS: Millis = Millis(100);
@@ -53,12 +52,17 @@
                 Some(_) => leader.store_requested.notify_one(),
                 None => {}
             }
+            let pause_ms = if leader.cell.borrow().dirty_jobs() >= MAX_BATCH_JOBS {
+                Millis(0)
+            } else {
+                BATCH_PERIOD_MS
+            };
             self.store_roster(&leader, &mut roster).await;
             if clock::now().since(last_expiry_ms) > EXPIRY_PERIOD_MS {
                 last_expiry_ms = clock::now();
                 self.remove_expired_jobs(&leader).await;
             }
-            tokio::time::sleep(BATCH_PERIOD_MS.to_duration()).await;
+            tokio::time::sleep(pause_ms.to_duration()).await;
         }
     }
 
@@ -79,6 +83,11 @@
             BatchOutcome::Stored(revision) => {
                 leader.batch_revision.set(revision);
                 leader.cell.borrow_mut().batch_stored(&batch);
+                for end in &batch.ends {
+                    if let Some(stored) = leader.ends_stored.borrow().get(&end.worker) {
+                        stored.notify_one();
+                    }
+                }
                 self.metrics.count("batches");
             }
             BatchOutcome::Deposed => self.end_term("the store has another leader"),
--- a/components/cluster/src/polling.rs
+++ b/components/cluster/src/polling.rs
@@ -14,14 +14,33 @@
 const IDLE_DELAY_MS: Millis = Millis(10);
 /// Delay after consecutive failed polls. The first failure in a row is retried sooner.
 const FAILURE_DELAY_MS: Millis = Millis(250);
-/// Time allowed for storing reported ends of runs before the next poll.
-const END_STORE_WAIT_MS: Millis = Millis(60);
+/// Longest time that the next poll waits for reported ends of runs to be stored.
+const END_STORE_WAIT_MS: Millis = Millis(100);
 /// A poll that is unanswered this long after its wait time is hedged by a second one: an answer
 /// takes a few milliseconds, and one lost answer must not hold up a new leader.
 const HEDGE_DELAY_MS: Millis = Millis(150);
 /// Additional delay while ends of runs cannot be stored: each answer would repeat them.
 const UNSTORED_DELAY_MS: Millis = Millis(200);
 
+/// How a worker is polled again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NextPoll {
+    /// The worker may hold the poll until a run ends.
+    pub wait: bool,
+    /// Delay before the poll.
+    pub delay_ms: Millis,
+}
+
+/// Decides how to poll a worker that has reported ends of runs.
+///
+/// Load pattern: short tasks end on a worker every few milliseconds. Until its reported ends are
+/// stored, a poll that waits is answered at once with the same ends. Without further polls the
+/// resources of runs that ended meanwhile are idle, so only a failing store justifies a delay.
+pub fn next_poll(has_unstored_ends: bool, store_fails: bool) -> NextPoll {
+    let delay_ms = if has_unstored_ends && store_fails { UNSTORED_DELAY_MS } else { Millis(0) };
+    NextPoll { wait: !has_unstored_ends, delay_ms }
+}
+
 impl Node {
     /// Starts a polling loop for each worker that has none.
     pub(crate) fn start_polling(self: &Rc<Self>, leader: &Rc<Leader>) {
@@ -57,16 +76,32 @@
             failed = false;
             if leader.cell.borrow().has_unstored_ends(&id) {
                 leader.store_requested.notify_one();
-                tokio::time::sleep(END_STORE_WAIT_MS.to_duration()).await;
-                if leader.cell.borrow().has_unstored_ends(&id) {
-                    wait = false;
-                    tokio::time::sleep(UNSTORED_DELAY_MS.to_duration()).await;
-                }
+                self.wait_until_stored(&leader, &id).await;
+                let next = next_poll(
+                    leader.cell.borrow().has_unstored_ends(&id),
+                    self.store_failures.get() > 0,
+                );
+                wait = next.wait;
+                tokio::time::sleep(next.delay_ms.to_duration()).await;
             } else {
                 tokio::time::sleep(IDLE_DELAY_MS.to_duration()).await;
             }
         }
         leader.polled_workers.borrow_mut().remove(&id);
+        leader.ends_stored.borrow_mut().remove(&id);
+    }
+
+    /// Waits until the ends that a worker reported are stored, but not for long: other runs may end
+    /// meanwhile, and their resources are free.
+    async fn wait_until_stored(&self, leader: &Leader, id: &WorkerId) {
+        let stored = leader.ends_stored.borrow_mut().entry(id.clone()).or_default().clone();
+        let wait = async {
+            while leader.cell.borrow().has_unstored_ends(id) {
+                stored.notified().await;
+            }
+        };
+        // The caller looks whether the ends are stored by now.
+        tokio::time::timeout(END_STORE_WAIT_MS.to_duration(), wait).await.ok();
     }
 
     /// Polls a worker, with a second call if the answer is late. The first usable answer counts.
--- a/components/cluster/tests/polling.rs
+++ b/components/cluster/tests/polling.rs
@@ -51,3 +51,12 @@
         );
     });
 }
+
+/// Tasks of half a second end on a worker every few milliseconds, while the ends before are stored.
+#[test]
+fn a_worker_with_unstored_ends_is_polled_again_at_once_while_the_store_works() {
+    let now = cluster::NextPoll { wait: false, delay_ms: Millis(0) };
+    assert_eq!(cluster::next_poll(true, false), now);
+    assert_eq!(cluster::next_poll(false, false), cluster::NextPoll { wait: true, ..now });
+    assert!(cluster::next_poll(true, true).delay_ms >= Millis(200));
+}
--- a/components/types/src/units.rs
+++ b/components/types/src/units.rs
@@ -20,6 +20,11 @@
         Millis(self.0.saturating_sub(earlier.0))
     }
 
+    /// Half of a duration.
+    pub fn half(self) -> Millis {
+        Millis(self.0 / 2)
+    }
+
     /// Converts to a standard duration.
     pub fn to_duration(self) -> std::time::Duration {
         std::time::Duration::from_millis(self.0)
