scarce_advisor: a job whose last tasks run at the end of the bound has not starved

The check now says so exactly: after 14 s no task of any job waits, and after 6 s more, the longest task and a bit, all jobs are done.

--- a/components/cell/tests/simulation/checks.rs
+++ b/components/cell/tests/simulation/checks.rs
@@ -149,6 +149,11 @@
         self.all_tasks(id, &|seen| seen.done)
     }
 
+    /// Number of tasks of a job that are done.
+    pub fn done_tasks(&self, id: &JobId) -> usize {
+        self.tasks.iter().filter(|(key, seen)| key.step.job == *id && seen.done).count()
+    }
+
     fn all_tasks(&self, id: &JobId, test: &dyn Fn(&TaskHistory) -> bool) -> bool {
         let Some(record) = self.jobs.get(id) else { return false };
         (0u16..).zip(&record.spec.steps).all(|(step, spec)| {
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -235,6 +235,18 @@
         })
     }
 
+    /// Whether a task of a job waits for a worker, or for an earlier step.
+    pub fn waits(&self, id: &JobId) -> bool {
+        let Some(record) = self.stored_jobs.get(id) else { return false };
+        let running: usize = self
+            .workers
+            .values()
+            .map(|worker| worker.runs.keys().filter(|key| key.step.job == *id).count())
+            .sum();
+        let tasks: u32 = record.spec.steps.iter().map(|step| step.tasks).sum();
+        running + self.checks.done_tasks(id) < tasks as usize
+    }
+
     /// Whether a job runs until it is cancelled.
     pub fn is_long_running(&self, id: &JobId) -> bool {
         self.stored_jobs
