cell: only steps that are about to use free resources claim them

Steps of a better rank that waited for room on their allowed workers claimed what was free on others, so that it did not ask. Now a step claims while its call for advice is on its way.

The test plays a load of 3.2 times the usual for 20 s and then checks what the users' rule says: no job has nothing running for 3 s while less than half of its service is in use and its workers have room.

--- a/components/cell/src/ask.rs
+++ b/components/cell/src/ask.rs
@@ -20,20 +20,24 @@
 }
 
 impl Cell {
-    /// Requests advice on workers for `tasks` tasks that found none; `fits` tells whether there are
-    /// free resources for them. Otherwise only those steps ask that find some within the life of a
-    /// ticket, and urgent ones once, since preemption needs to know which workers are allowed.
+    /// Requests advice on workers for `tasks` tasks that found none.
     ///
-    /// A step that has its turn may use the machines that are reserved for short calls.
+    /// A step asks if workers have room that no step of a better rank is about to use, or if room
+    /// becomes free within the life of a ticket. Urgent steps ask once in any case, since preemption
+    /// needs to know which workers are allowed. A step that has its turn always asks, and may use the
+    /// machines that are reserved for short calls.
     pub(crate) fn request_advice(
         &mut self,
         waiting: &WaitingStep<'_>,
         advice: &AdvicePolicy,
         tasks: u64,
-        fits: bool,
     ) {
-        let WaitingStep { key, spec, has_turn, now, .. } = *waiting;
+        let WaitingStep { key, spec, queue, has_turn, now, .. } = *waiting;
         let Some(step) = self.step(key) else { return };
+        if step.advice.call_pending() {
+            self.rooms.get_mut(&queue.service).claim(&spec.charge(), tasks);
+            return;
+        }
         let may_ask = tasks > 0
             && step.advice.may_ask(now)
             && self.callers.has_free(call_ms(advice, 1), has_turn, now);
@@ -41,6 +45,7 @@
             return;
         }
         let asks_anyway = has_turn || (waiting.is_urgent() && step.advice.calls == 0);
+        let mut fits = self.rooms.get_mut(&queue.service).fits(&spec.charge());
         if !fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
             return;
         }
@@ -48,9 +53,12 @@
         let Some(step) = self.step(key) else { return };
         let slots = usable.iter().filter(|one| !step.advice.is_denied(&one.id));
         let slots = slots.fold(0u64, |sum, one| sum.saturating_add(one.slots));
-        let gang_fits = !spec.gang || slots >= tasks;
-        if fits && !gang_fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
-            return;
+        let enough_slots = slots >= if spec.gang { tasks } else { 1 };
+        if fits && !enough_slots {
+            fits = false;
+            if !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
+                return;
+            }
         }
         let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(step) = job.step(key.occurrence, key.step) else { return };
@@ -67,6 +75,9 @@
         }
         let duration_ms = call_ms(advice, workers.len());
         let Some((caller, call)) = self.callers.reserve(duration_ms, has_turn, now) else { return };
+        if fits {
+            self.rooms.get_mut(&queue.service).claim(&spec.charge(), tasks);
+        }
         if let Some(step) = self.step_mut(key) {
             step.advice.call_started(duration_ms);
         }
--- a/components/cell/src/room.rs
+++ b/components/cell/src/room.rs
@@ -21,7 +21,7 @@
     pub(crate) free: Resources,
     /// For each resource, the most that any worker had free at the start of the round.
     largest: Resources,
-    /// Part of `free` that no step of a better rank needs.
+    /// Part of `free` that no step of a better rank is about to use.
     unclaimed: Resources,
     /// Resources that runs free in a second.
     freed_per_s: Resources,
@@ -42,13 +42,14 @@
         self.unclaimed = self.unclaimed.minus(used);
     }
 
-    /// Claims free resources for `tasks` tasks that wait. Returns whether there are enough for one.
-    pub(crate) fn claim(&mut self, charge: &Resources, tasks: u64) -> bool {
-        let fits = self.may_fit(charge) && self.unclaimed.covers(charge);
-        if fits {
-            self.unclaimed = self.unclaimed.minus(&charge.times(tasks));
-        }
-        fits
+    /// Whether a task may find room that no step of a better rank is about to use.
+    pub(crate) fn fits(&self, charge: &Resources) -> bool {
+        self.may_fit(charge) && self.unclaimed.covers(charge)
+    }
+
+    /// Claims free resources for `tasks` tasks of a step that waits for advice on workers with room.
+    pub(crate) fn claim(&mut self, charge: &Resources, tasks: u64) {
+        self.unclaimed = self.unclaimed.minus(&charge.times(tasks));
     }
 
     /// Claims resources that become free for `tasks` tasks that wait. Returns whether there will be
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -148,14 +148,13 @@
         started
     }
 
-    /// Claims room for `tasks` tasks that found none: requests advice, preempts less urgent work
+    /// Prepares room for `tasks` tasks that found none: requests advice, preempts less urgent work
     /// for urgent steps, and holds workers for a step that has its turn.
     fn seek_room(&mut self, waiting: &WaitingStep<'_>, tasks: usize) {
         let WaitingStep { key, spec, queue, now, .. } = *waiting;
         let in_limit = self.team_slots(key, spec).min(tasks as u64);
-        let fits = self.rooms.get_mut(&queue.service).claim(&spec.charge(), in_limit);
         if let Some(advice) = &queue.advice {
-            self.request_advice(waiting, advice, in_limit, fits);
+            self.request_advice(waiting, advice, in_limit);
         }
         if waiting.has_turn {
             let held = self.workers_to_hold(waiting);
--- a/components/cell/tests/scarce_advisor.rs
+++ b/components/cell/tests/scarce_advisor.rs
@@ -7,6 +7,8 @@
 
 mod simulation;
 
+use std::collections::BTreeMap;
+
 use cell::{AdvicePolicy, Policy, QueuePolicy, StepSpec, TeamPolicy};
 use libs::rand::rngs::StdRng;
 use libs::rand::{Rng, SeedableRng};
@@ -16,10 +18,15 @@
 const NEVER: Millis = Millis(u64::MAX);
 /// End of the traffic.
 const TRAFFIC_MS: u64 = 20_000;
-/// Time after the traffic within which all tasks must have started.
+/// Time after the traffic within which all jobs must be done at the usual load, but for tasks that
+/// run then.
 const FINISH_MS: u64 = 14_000;
 /// Time after that within which all jobs must be done: the longest task takes 5.4 s.
 const LAST_TASKS_MS: u64 = 6_000;
+/// Longest time for which a job may have nothing running although there is room for it.
+const MAX_IDLE_MS: u64 = 3_000;
+/// Period of looking for such jobs.
+const LOOK_MS: u64 = 100;
 
 fn queue(
     service: &str,
@@ -107,8 +114,15 @@
     }
 }
 
-/// Plays the load. `load_percent` scales the rates.
+/// Plays the load until all of it should be done.
 fn play(seed: u64, load_percent: u64) -> Simulation {
+    let mut sim = start(seed, load_percent);
+    sim.run_until(Millis(TRAFFIC_MS + FINISH_MS));
+    sim
+}
+
+/// Prepares the load. `load_percent` scales the rates.
+fn start(seed: u64, load_percent: u64) -> Simulation {
     let mut sim = Simulation::new(seed, policy(), workers(), Faults::default(), NEVER);
     sim.set_machines(&["m1", "m2", "m3", "m4", "m5", "m6"]);
     sim.round_ms = Millis(4);
@@ -137,7 +151,6 @@
             at += mean_ms * rng.random_range(0.5..1.5);
         }
     }
-    sim.run_until(Millis(TRAFFIC_MS + FINISH_MS));
     sim
 }
 
@@ -153,7 +166,7 @@
 }
 
 #[test]
-fn no_step_starves_while_the_advisor_is_scarce() {
+fn all_jobs_are_done_soon_after_the_traffic() {
     for seed in 0..3 {
         let mut sim = play(seed, 100);
         assert!(sim.checks.violations.is_empty(), "{:?}", sim.checks.violations);
@@ -166,6 +179,30 @@
     }
 }
 
+/// After an overload of half as much again, steps of all ranks wait for advice.
+#[test]
+fn no_job_starves_while_there_is_room_for_it() {
+    for seed in 0..4 {
+        let mut sim = start(seed, 320);
+        let mut idle_ms: BTreeMap<JobId, u64> = BTreeMap::new();
+        for now in (TRAFFIC_MS..TRAFFIC_MS + 2 * FINISH_MS).step_by(LOOK_MS as usize) {
+            sim.run_until(Millis(now));
+            let startable: Vec<JobId> =
+                sim.open_jobs().into_iter().filter(|id| sim.could_start(id)).collect();
+            idle_ms.retain(|id, _| startable.contains(id));
+            for id in startable {
+                let idle = idle_ms.entry(id.clone()).or_default();
+                *idle += LOOK_MS;
+                assert!(
+                    *idle <= MAX_IDLE_MS,
+                    "seed {seed}, {now} ms: {id} has nothing running: {:#?}",
+                    sim.explain(&id)
+                );
+            }
+        }
+    }
+}
+
 /// The target is 1.2 calls for each step in the mean over a day with bursts.
 #[test]
 fn few_calls_are_made_for_each_step() {
--- a/components/cell/tests/simulation/checks.rs
+++ b/components/cell/tests/simulation/checks.rs
@@ -149,6 +149,16 @@
         self.all_tasks(id, &|seen| seen.done)
     }
 
+    /// Whether all tasks of a step are done.
+    pub fn is_step_done(&self, id: &JobId, step: u16) -> bool {
+        let tasks = self.jobs[id].spec.steps[usize::from(step)].tasks;
+        let key = StepKey { job: id.clone(), occurrence: 0, step };
+        (0..tasks).all(|index| {
+            let task = TaskKey { step: key.clone(), index };
+            self.tasks.get(&task).is_some_and(|seen| seen.done)
+        })
+    }
+
     /// Number of tasks of a job that are done.
     pub fn done_tasks(&self, id: &JobId) -> usize {
         self.tasks.iter().filter(|(key, seen)| key.step.job == *id && seen.done).count()
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -18,7 +18,7 @@
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
 use libs::rand::{Rng, SeedableRng};
-use types::{JobId, Millis, WorkerId};
+use types::{JobId, Millis, Resources, WorkerId};
 
 pub use advisor::Advisor;
 pub use checks::Checks;
@@ -217,24 +217,60 @@
     /// Whether the advisor allows enough workers for each step of a job, if they are empty.
     pub fn can_run(&self, id: &JobId) -> bool {
         let Some(record) = self.stored_jobs.get(id) else { return false };
-        let service = &self.policy.queues[&record.queue].service;
         (0u16..).zip(&record.spec.steps).all(|(index, spec)| {
-            let key = StepKey { job: id.clone(), occurrence: 0, step: index };
-            let slots: u64 = self
-                .workers
-                .values()
-                .filter(|worker| worker.service == *service)
-                .filter(|worker| self.advisor.allows(&key, &worker.id))
-                .map(|worker| {
-                    (0..)
-                        .take_while(|count| worker.capacity.covers(&spec.need.times(count + 1)))
-                        .count() as u64
-                })
-                .sum();
+            let slots = self.allowed_slots(record, index, |worker| worker.capacity);
             slots >= if spec.gang { u64::from(spec.tasks) } else { 1 }
         })
     }
 
+    /// Whether a job has nothing running, although less than half of its service is in use and
+    /// there is room for a step whose turn it is on workers that the advisor allows. Deferrable
+    /// work may leave a part of a service free, but less than that.
+    pub fn could_start(&self, id: &JobId) -> bool {
+        let Some(record) = self.stored_jobs.get(id) else { return false };
+        let service = &self.policy.queues[&record.queue].service;
+        let of_service = self.workers.values().filter(|worker| worker.service == *service);
+        let (free, total) = of_service
+            .fold((Resources::ZERO, Resources::ZERO), |(free, total), worker| {
+                (free.plus(&worker.free()), total.plus(&worker.capacity))
+            });
+        if total.minus(&free).dominant_share(&total) > 0.5 {
+            return false;
+        }
+        let runs = self.workers.values().flat_map(|worker| worker.runs.keys());
+        if runs.into_iter().any(|key| key.step.job == *id) {
+            return false;
+        }
+        let is_done = |step: u16| self.checks.is_step_done(id, step);
+        (0u16..).zip(&record.spec.steps).any(|(index, spec)| {
+            let slots = self.allowed_slots(record, index, Worker::free);
+            !is_done(index)
+                && spec.after.iter().all(|earlier| is_done(*earlier))
+                && slots >= if spec.gang { u64::from(spec.tasks) } else { 1 }
+        })
+    }
+
+    /// Number of tasks of a step that fit into `room` of the workers that the advisor allows.
+    fn allowed_slots(
+        &self,
+        record: &JobRecord,
+        step: u16,
+        room: impl Fn(&Worker) -> Resources,
+    ) -> u64 {
+        let service = &self.policy.queues[&record.queue].service;
+        let need = record.spec.steps[usize::from(step)].need;
+        let key = StepKey { job: record.id.clone(), occurrence: 0, step };
+        self.workers
+            .values()
+            .filter(|worker| worker.service == *service)
+            .filter(|worker| self.advisor.allows(&key, &worker.id))
+            .map(|worker| {
+                let room = room(worker);
+                (1..).take_while(|count| room.covers(&need.times(*count))).count() as u64
+            })
+            .sum()
+    }
+
     /// Whether a task of a job waits for a worker, or for an earlier step.
     pub fn waits(&self, id: &JobId) -> bool {
         let Some(record) = self.stored_jobs.get(id) else { return false };
--- a/components/cell/tests/simulation/worker.rs
+++ b/components/cell/tests/simulation/worker.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// Resources that no run uses.
+    pub fn free(&self) -> Resources {
+        let used = self.runs.values().fold(Resources::ZERO, |sum, run| sum.plus(&run.need));
+        self.capacity.minus(&used)
+    }
+
     pub fn listed(&self, now: Millis) -> bool {
         now >= self.unlisted_until_ms
     }
