Reverted: steps that will likely overrun their objective rank as late

Idea: in an overload, steps are started when they can just make their objective and then miss it, since their longest task takes a third more than declared. A margin of 30% and 120 ms ranked such steps as late. Likely cause, not shown: steps that rank as late do not preempt.

--- a/components/cell/src/ranking.rs
+++ b/components/cell/src/ranking.rs
@@ -20,13 +20,6 @@
 /// for declared run times that are off by half and more.
 const DEFERRABLE_SLACK_FRACTION: f64 = 0.35;
 
-/// Time by which a step is likely to take longer than declared, in percent: its longest task decides,
-/// and the tasks of a step differ by a third. Without it, in an overload each job would start just
-/// when it can no longer be in time.
-const OVERRUN_PERCENT: u64 = 30;
-/// Time until a start has reached the worker and an end is stored.
-const OVERHEAD_MS: Millis = Millis(120);
-
 /// Jobs of queues with the highest priority are never deferred.
 fn is_deferrable_queue(policy: &QueuePolicy) -> bool {
     policy.priority > 0
@@ -88,10 +81,9 @@
     let ends = now + left_ms;
     let slack = (due_ms + objective).since(ends);
     let deferrable_slack = Millis((objective.0 as f64 * DEFERRABLE_SLACK_FRACTION) as u64);
-    let likely_ends = ends + Millis(left_ms.0 * OVERRUN_PERCENT / 100) + OVERHEAD_MS;
     let outlook = if !long_running && is_deferrable_queue(policy) && slack > deferrable_slack {
         Outlook::Deferrable
-    } else if long_running || likely_ends <= due_ms + objective {
+    } else if long_running || ends <= due_ms + objective {
         Outlook::InTime
     } else if ends <= due_ms + late_limit {
         Outlook::Late
