cell: a turn holds one worker, and none for a team at its limit

Now only steps within the limit get a turn, and a turn holds one worker, or one for each member of a gang.

--- a/components/cell/src/aging.rs
+++ b/components/cell/src/aging.rs
@@ -12,7 +12,7 @@
 use libs::compact_str::CompactString;
 use types::{Millis, Resources, WorkerId};
 
-use crate::cell::Cell;
+use crate::cell::{Cell, spec_of};
 use crate::model::StepKey;
 use crate::place::WaitingStep;
 use crate::ranking::Outlook;
@@ -94,7 +94,7 @@
         for candidate in candidates {
             let waited_ms = now.since(candidate.waiting_since_ms);
             let waits_by_choice = candidate.rank.outlook == Outlook::Deferrable;
-            if waited_ms < MAX_WAIT_MS || waits_by_choice {
+            if waited_ms < MAX_WAIT_MS || waits_by_choice || !self.is_within_limit(candidate) {
                 continue;
             }
             let entry = longest.entry(&candidate.service).or_insert((waited_ms, &candidate.key));
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether the limit of its team allows a task of a step.
+    fn is_within_limit(&self, candidate: &Candidate) -> bool {
+        spec_of(&self.jobs, &candidate.key)
+            .is_some_and(|spec| self.team_slots(&candidate.key, spec) > 0)
+    }
+
     /// Ends the turn of a step of which a task has started.
     pub(crate) fn end_turn(&mut self, service: &CompactString) {
         if let Some(turn) = self.turns.by_service.get_mut(service) {
@@ -142,8 +148,8 @@
         }
     }
 
-    /// Workers to keep free for a step that has its turn and found no room: those with most room of
-    /// the ones that it may use.
+    /// Workers to keep free for a step that has its turn and found no room: of those that it may use
+    /// the one with most room, or one for each member of a gang.
     pub(crate) fn workers_to_hold(&self, step: &WaitingStep<'_>) -> BTreeSet<WorkerId> {
         let charge = step.spec.charge();
         let denied =
@@ -156,7 +162,8 @@
             .map(|(id, worker)| (id, worker.used.dominant_share(&worker.report.capacity)))
             .collect();
         let most = (usable.len() / HELD_WORKERS_DIVISOR).max(1);
+        let wanted = if step.spec.gang { step.tasks.len() } else { 1 };
         usable.sort_by(|(_, left), (_, right)| left.total_cmp(right));
-        usable.into_iter().take(step.tasks.len().min(most)).map(|(id, _)| id.clone()).collect()
+        usable.into_iter().take(wanted.min(most)).map(|(id, _)| id.clone()).collect()
     }
 }
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -156,7 +156,7 @@
         if let Some(advice) = &queue.advice {
             self.request_advice(waiting, advice, in_limit);
         }
-        if waiting.has_turn {
+        if waiting.has_turn && in_limit > 0 {
             let held = self.workers_to_hold(waiting);
             self.held_workers.extend(held);
         }
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -571,3 +571,46 @@
     }
     assert!(again <= first / 3, "{again} repeats of {first} starts");
 }
+
+/// A team sends much more than its limit. Its steps wait for seconds, but no worker must wait for them:
+/// room is not what they lack.
+#[test]
+fn steps_of_a_team_at_its_limit_keep_no_worker_free() {
+    let mut cell = cell_with(2, policy());
+    let quick = |id: &str, team: &str| job(id, "batch", team, vec![step(6, 4, 60_000)]);
+    // The limit of the small team is 24 of the 32 cores.
+    cell.add_job(quick("00000000000000c1", "small"), Millis(10));
+    cell.schedule(Millis(10));
+    assert_eq!(start_orders(&cell.take_actions()).len(), 6);
+    cell.add_job(quick("00000000000000c2", "small"), Millis(20));
+    for now in (20..8_000).step_by(100) {
+        cell.tick(Millis(now));
+        cell.schedule(Millis(now));
+    }
+    cell.take_actions();
+    let urgent = job("00000000000000c3", "watch", "large", vec![step(2, 4, 500)]);
+    cell.add_job(urgent, Millis(8_000));
+    cell.schedule(Millis(8_000));
+    assert_eq!(start_orders(&cell.take_actions()).len(), 2, "a worker is held");
+}
+
+/// A wide step gets its turn. It goes on once a task of it has started, so that one worker is enough.
+#[test]
+fn a_step_in_its_turn_keeps_one_worker_free() {
+    let mut cell = cell_with(24, policy());
+    let full = job("00000000000000c4", "watch", "large", vec![step(24, 12, 60_000)]);
+    cell.add_job(full, Millis(10));
+    cell.schedule(Millis(10));
+    assert_eq!(start_orders(&cell.take_actions()).len(), 24);
+    // Each worker has 4 cores left; the wide step needs 8 for each task.
+    cell.add_job(job("00000000000000c5", "watch", "large", vec![step(24, 8, 500)]), Millis(20));
+    for now in (20..8_000).step_by(100) {
+        cell.tick(Millis(now));
+        cell.schedule(Millis(now));
+    }
+    cell.take_actions();
+    let small = job("00000000000000c6", "watch", "large", vec![step(24, 4, 500)]);
+    cell.add_job(small, Millis(8_000));
+    cell.schedule(Millis(8_000));
+    assert_eq!(start_orders(&cell.take_actions()).len(), 23);
+}
