--- a/components/cell/src/aging.rs
+++ b/components/cell/src/aging.rs
@@ -3,8 +3,8 @@
 //! Load pattern: more urgent work than resources, or than time of the advisor, for many seconds.
 //! Work that is late beyond any use is ranked last, but was accepted and must not wait forever. A
 //! tenth of the resources that are started goes to the steps that have waited longest, one at a
-//! time for each service. If such a step needs more than any worker has free, the workers with most
-//! room take no other work until it fits.
+//! time for each service. While such a step finds no room, the worker with most room of those that
+//! it may use takes no other work; for a gang, one worker for each member.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -26,15 +26,17 @@
 const HAND_OVER_TIMEOUT_MS: Millis = Millis(300);
 /// Delay after a failed attempt to load the stored state.
 const LOAD_RETRY_DELAY_MS: Millis = Millis(100);
-/// Time after which a leader that cannot load the stored state yields: twice what the largest state
-/// takes on the slowest link.
+/// Time after which a leader that cannot load the stored state yields. A state of 1 MB takes 1.1 s on
+/// a link of 10 Mbit/s.
 const MAX_LOAD_MS: Millis = Millis(4_000);
 /// Period of checking for a peer with much more CPU.
 const PEER_CHECK_PERIOD_MS: Millis = Millis(1_000);
 /// Period of [`Cell::tick`].
 const TICK_MS: Millis = Millis(100);
-/// Time between two placement rounds, in durations of the last one, and at most.
+/// Pause after a placement round, in durations of that round: a quarter of the leader's time is
+/// enough for rounds.
 const PAUSE_FACTOR: u64 = 3;
+/// Longest pause between two placement rounds.
 const MAX_PAUSE_MS: Millis = Millis(50);
 /// Shortest time between two placement rounds, so that one round serves many events.
 const MIN_ROUND_MS: Millis = Millis(4);
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -39,7 +39,8 @@
 const PEER_TIMEOUT_MS: Millis = Millis(1_500);
 /// A gap between two ticks that is logged as a pause of the process.
 const STALL_MS: Millis = Millis(700);
-/// Time for which a process that was too slow to lead, or could not load the state, does not stand for election.
+/// Time for which a process that was too slow to lead, or could not load the state, does not stand
+/// for election.
 pub(crate) const LEADER_COOLDOWN_MS: Millis = Millis(30_000);
 /// Number of processes in cooldown at which no further hand-over takes place: the load is then too
 /// high for any process, and a hand-over would only cost time.
