cluster: a line a second on the leader's rounds and on what waits

Cause: nothing told a leader that is short of processor time from one that is slow to decide or waits for workers. No change of logic.

--- a/components/cell/src/ask.rs
+++ b/components/cell/src/ask.rs
@@ -49,6 +49,7 @@
         if !fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
             return;
         }
+        self.waiting.advice_scans += 1;
         let usable = self.advice_candidates(waiting);
         let Some(step) = self.step(key) else { return };
         let slots = usable.iter().filter(|one| !step.advice.is_denied(&one.id));
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -19,6 +19,7 @@
     FinalState, JobRecord, Policy, Progress, QueuePolicy, StepKey, StepSpec, TaskKey,
 };
 use crate::room::Rooms;
+use crate::waiting::WaitingSteps;
 use crate::worker::Worker;
 
 /// Workers named in a usual call to the advisor.
@@ -61,6 +62,7 @@
     /// Workers that take no other work in the current round than the steps whose turn it is.
     pub(crate) held_workers: BTreeSet<WorkerId>,
     pub(crate) turns: Turns,
+    pub(crate) waiting: WaitingSteps,
     pub(crate) dirty: DirtyJobs,
     /// A batch was taken, and whether it is stored is not known yet.
     pub(crate) batch_in_flight: bool,
@@ -103,6 +105,7 @@
             rooms: Rooms::default(),
             held_workers: BTreeSet::new(),
             turns: Turns::default(),
+            waiting: WaitingSteps::default(),
             dirty: DirtyJobs::default(),
             batch_in_flight: false,
             loss_counts: LossCounts::default(),
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -31,6 +31,7 @@
 mod runs;
 mod schedule;
 mod team_limit;
+mod waiting;
 mod worker;
 mod worker_list;
 
@@ -46,4 +47,5 @@
 };
 pub use polling::{ActiveRun, EndedRun, Ending, PollAnswer};
 pub use roster::RosterRow;
+pub use waiting::WaitingSteps;
 pub use worker::WorkerReport;
--- a/components/cell/src/queries.rs
+++ b/components/cell/src/queries.rs
@@ -5,6 +5,7 @@
 use crate::cell::Cell;
 use crate::job::Job;
 use crate::model::JobStatus;
+use crate::waiting::WaitingSteps;
 
 impl Cell {
     /// State of a job as callers see it; none if the job is unknown.
@@ -24,6 +25,11 @@
         self.workers.keys().cloned().collect()
     }
 
+    /// Steps that waited for workers in the last scheduling round.
+    pub fn waiting_steps(&self) -> WaitingSteps {
+        self.waiting
+    }
+
     /// Number of jobs in memory.
     pub fn jobs_known(&self) -> u64 {
         self.jobs.len() as u64
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -39,6 +39,7 @@
         self.rooms = self.rooms();
         self.held_workers.clear();
         let mut candidates = self.candidates(now);
+        self.waiting.count(&candidates);
         self.choose_turns(&candidates, now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let turns = self.turns.move_to_front(&mut candidates);
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -13,6 +13,7 @@
 
 use crate::codec::decode;
 use crate::keys;
+use crate::load::LoadMeter;
 use crate::node::{LEADER_COOLDOWN_MS, Node};
 use crate::ports::{Item, StoreError};
 
@@ -33,6 +34,8 @@
 const PEER_CHECK_PERIOD_MS: Millis = Millis(1_000);
 /// Period of [`Cell::tick`].
 const TICK_MS: Millis = Millis(100);
+/// Interval of the log lines on the leader's load.
+const LOAD_LOG_PERIOD_MS: Millis = Millis(1_000);
 /// Pause after a placement round, in durations of that round: a quarter of the leader's time is
 /// enough for rounds.
 const PAUSE_FACTOR: u64 = 3;
@@ -65,6 +68,7 @@
     pub(crate) polled_workers: RefCell<BTreeSet<WorkerId>>,
     /// Notified when ends that a worker reported are stored.
     pub(crate) ends_stored: RefCell<BTreeMap<WorkerId, Rc<Notify>>>,
+    load: RefCell<LoadMeter>,
     pub(crate) changed: Notify,
     pub(crate) store_requested: Notify,
     /// Held while a batch is stored, because each batch is conditional on the previous one.
@@ -98,6 +102,7 @@
             hedge_budget: RefCell::default(),
             polled_workers: RefCell::default(),
             ends_stored: RefCell::default(),
+            load: RefCell::new(LoadMeter::new(clock::now(), clock::thread_cpu_time())),
             changed: Notify::new(),
             store_requested: Notify::new(),
             storing: tokio::sync::Mutex::new(()),
@@ -330,16 +335,37 @@
                 self.metrics.gauge("jobs_given_up", losses.jobs_given_up);
                 self.metrics.gauge("advisor_busy_percent", cell.advisor_busy_percent());
             }
+            self.log_load(&leader);
             self.start_polling(&leader);
             leader.changed.notify_one();
             tokio::time::sleep(TICK_MS.to_duration()).await;
         }
     }
 
+    /// Logs once a second what the leader spends its time on, and what waits.
+    fn log_load(&self, leader: &Leader) {
+        let cpu = clock::thread_cpu_time();
+        let taken = leader.load.borrow_mut().take(LOAD_LOG_PERIOD_MS, clock::now(), cpu);
+        let Some(load) = taken else { return };
+        let waiting = leader.cell.borrow().waiting_steps();
+        event!("leader.load", "epoch" => leader.epoch, "interval_ms" => load.interval_ms.0,
+            "cpu_ms" => load.cpu.as_millis() as u64, "rounds" => load.rounds,
+            "rounds_ms" => load.rounds_ms.0, "rounds_cpu_ms" => load.rounds_cpu.as_millis() as u64,
+            "in_time" => waiting.in_time, "late" => waiting.late,
+            "deferrable" => waiting.deferrable, "over_share" => waiting.over_share,
+            "overdue" => waiting.overdue, "advice_scans" => waiting.advice_scans);
+        self.metrics.gauge(
+            "leader_cpu_ms_per_s",
+            load.cpu.as_millis() as u64 * 1_000 / load.interval_ms.0.max(1),
+        );
+        self.metrics.gauge("steps_waiting", waiting.total());
+    }
+
     async fn place_tasks(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             leader.changed.notified().await;
             let began_ms = clock::now();
+            let cpu_at_begin = clock::thread_cpu_time();
             let actions = {
                 let may_start = self.may_start(&leader);
                 let mut cell = leader.cell.borrow_mut();
@@ -353,6 +379,8 @@
             leader.store_requested.notify_one();
             // Most of the time is left to answers: a busy leader serves more of them in a round.
             let took_ms = clock::now().since(began_ms);
+            let cpu = clock::thread_cpu_time().saturating_sub(cpu_at_begin);
+            leader.load.borrow_mut().record_round(took_ms, cpu);
             self.metrics.time_ms("placement_round_ms", took_ms.0);
             let pause_ms = Millis(took_ms.0 * PAUSE_FACTOR).min(MAX_PAUSE_MS).max(MIN_ROUND_MS);
             tokio::time::sleep(pause_ms.to_duration()).await;
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod lag;
 mod leader;
+mod load;
 mod local_rules;
 mod node;
 mod orders;
