--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -102,7 +102,7 @@
             hedge_budget: RefCell::default(),
             polled_workers: RefCell::default(),
             ends_stored: RefCell::default(),
-            load: RefCell::new(LoadMeter::new(clock::now(), clock::thread_cpu_time())),
+            load: RefCell::new(LoadMeter::new(clock::now())),
             changed: Notify::new(),
             store_requested: Notify::new(),
             storing: tokio::sync::Mutex::new(()),
@@ -344,20 +344,17 @@
 
     /// Logs once a second what the leader spends its time on, and what waits.
     fn log_load(&self, leader: &Leader) {
-        let cpu = clock::thread_cpu_time();
-        let taken = leader.load.borrow_mut().take(LOAD_LOG_PERIOD_MS, clock::now(), cpu);
+        let taken = leader.load.borrow_mut().take(LOAD_LOG_PERIOD_MS, clock::now());
         let Some(load) = taken else { return };
         let waiting = leader.cell.borrow().waiting_steps();
         event!("leader.load", "epoch" => leader.epoch, "interval_ms" => load.interval_ms.0,
-            "cpu_ms" => load.cpu.as_millis() as u64, "rounds" => load.rounds,
-            "rounds_ms" => load.rounds_ms.0, "rounds_cpu_ms" => load.rounds_cpu.as_millis() as u64,
+            "rounds" => load.rounds,
+            "rounds_ms" => load.rounds_ms.0, 
             "in_time" => waiting.in_time, "late" => waiting.late,
             "deferrable" => waiting.deferrable, "over_share" => waiting.over_share,
             "overdue" => waiting.overdue, "advice_scans" => waiting.advice_scans);
-        self.metrics.gauge(
-            "leader_cpu_ms_per_s",
-            load.cpu.as_millis() as u64 * 1_000 / load.interval_ms.0.max(1),
-        );
+        let rounds_percent = load.rounds_ms.0 * 100 / load.interval_ms.0.max(1);
+        self.metrics.gauge("leader_rounds_percent", rounds_percent);
         self.metrics.gauge("steps_waiting", waiting.total());
     }
 
@@ -365,7 +362,6 @@
         loop {
             leader.changed.notified().await;
             let began_ms = clock::now();
-            let cpu_at_begin = clock::thread_cpu_time();
             let actions = {
                 let may_start = self.may_start(&leader);
                 let mut cell = leader.cell.borrow_mut();
@@ -379,8 +375,7 @@
             leader.store_requested.notify_one();
             // Most of the time is left to answers: a busy leader serves more of them in a round.
             let took_ms = clock::now().since(began_ms);
-            let cpu = clock::thread_cpu_time().saturating_sub(cpu_at_begin);
-            leader.load.borrow_mut().record_round(took_ms, cpu);
+            leader.load.borrow_mut().record_round(took_ms);
             self.metrics.time_ms("placement_round_ms", took_ms.0);
             let pause_ms = Millis(took_ms.0 * PAUSE_FACTOR).min(MAX_PAUSE_MS).max(MIN_ROUND_MS);
             tokio::time::sleep(pause_ms.to_duration()).await;
