cell: a call for advice looks up few of the workers without room

Cause: the cost of a scheduling round grew with waiting steps times workers. For each step that asked for advice, all 578 workers were hashed, sorted and looked up in the step's tickets and refusals, to name at most 30 of those without room. With 400 steps waiting a round took 50 ms, 8 to 10 of them ran in a second, and answers waited for 0.3 s: the backlog kept up the state that kept it. Class: work per event that grows with the backlog, in the process that is to work it off.

Evidence: profile of these seconds (frame pointers, scratch copy): 31% of the leader's time in choosing workers for calls; leader.load: 405 to 490 ms of each second in rounds.

Change: workers without room are looked up one after the other until the call is full; the step is hashed once a call; runs of a step are counted only where a limit for each worker needs it; a worker without room for a task is not examined further. The order in which workers are named stays the same, but for allowed ones without room, which come by id.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -164,73 +164,165 @@
         self.not_before_ms = now + RETRY_MS;
     }
 
-    /// Workers to name in a call. `candidates` are in the order of [`AdviceCandidate::order`].
+    /// Workers to name in a call.
     ///
     /// Without room on a worker that has no valid ticket, a call only serves to have some tickets
     /// when resources become free. Otherwise it names as many workers as the tasks will likely
-    /// need.
+    /// need. Allowed workers come first, since they are certain to get a ticket again.
+    ///
+    /// Load pattern: hundreds of steps wait on hundreds of workers without room. A call names few of
+    /// these, so the others are not looked up.
     pub(crate) fn workers_to_ask(
         &self,
-        candidates: &[AdviceCandidate],
+        candidates: &AdviceCandidates<'_>,
         context: &AskContext,
-    ) -> Vec<(WorkerId, u64)> {
-        let is_valid = |one: &AdviceCandidate| {
-            let needed_at = context.now + context.lead_ms;
-            self.ticket(&one.id, one.incarnation_unix_ms, needed_at).is_some()
-        };
-        let (valid, mut useful): (Vec<_>, Vec<_>) =
-            candidates.iter().filter(|one| !self.is_denied(&one.id)).partition(|one| is_valid(one));
-        let any_room = useful.iter().any(|one| one.slots > 0);
+    ) -> AskedWorkers {
+        let needed_at = context.now + context.lead_ms;
+        let is_valid =
+            |one: &AdviceCandidate<'_>| self.has_ticket(one.id, one.incarnation_unix_ms, needed_at);
+        let with_room =
+            || candidates.with_room.iter().filter(|one| !self.is_denied(one.id) && !is_valid(one));
+        let any_room = with_room().next().is_some();
+        let mut asked = AskedWorkers::new(context, any_room);
+        asked.lookups = candidates.with_room.len();
+        let usable = candidates.with_room.iter().filter(|one| !self.is_denied(one.id));
+        asked.slots = usable.fold(0, |sum, one| sum.saturating_add(one.slots));
         let prepared = PREPARED_TICKETS.min(usize::try_from(context.tasks).unwrap_or(usize::MAX));
-        if !any_room && valid.len() >= prepared {
-            return Vec::new();
+        let allowed = || self.tickets.keys().filter_map(|id| candidates.get(id));
+        if !any_room && allowed().filter(is_valid).take(prepared).count() >= prepared {
+            return asked;
+        }
+        let is_allowed = |one: &&AdviceCandidate<'_>| self.tickets.contains_key(one.id);
+        let filled = with_room().filter(is_allowed).any(|one| asked.add(one, 1.0))
+            || with_room()
+                .filter(|one| !is_allowed(one))
+                .any(|one| asked.add(one, context.allow_rate))
+            || allowed()
+                .filter(|one| one.slots == 0 && !is_valid(one))
+                .any(|one| asked.add(&one, 1.0));
+        if filled {
+            return asked;
         }
-        // Allowed workers are certain to get a ticket again.
-        useful.sort_by_key(|one| (one.slots == 0, !self.tickets.contains_key(&one.id)));
-        let wanted = context.tasks as f64 * TICKETS_PER_TASK + 1.0;
-        let most = if any_room { MAX_CALL_WORKERS } else { MAX_CALL_WORKERS_AHEAD };
-        let mut expected = 0.0;
-        let mut chosen = Vec::new();
-        for one in useful {
-            let enough = expected >= wanted && chosen.len() >= MIN_CALL_WORKERS;
-            if enough || chosen.len() >= most {
+        for one in &candidates.without_room {
+            asked.lookups += 1;
+            let is_new = !self.is_denied(one.id) && !is_allowed(&one);
+            if is_new && asked.add(one, context.allow_rate) {
                 break;
             }
-            let known = self.tickets.contains_key(&one.id);
-            let probability = if known { 1.0 } else { context.allow_rate };
-            let slots = if one.slots > 0 { one.slots as f64 } else { SLOTS_AHEAD };
-            expected += slots * probability;
-            chosen.push((one.id.clone(), one.incarnation_unix_ms));
         }
-        chosen
+        asked
+    }
+
+    fn has_ticket(&self, worker: &WorkerId, incarnation_unix_ms: u64, now: Millis) -> bool {
+        self.ticket(worker, incarnation_unix_ms, now).is_some()
     }
 }
 
-/// A worker that the advisor may be asked about.
+/// Workers to name in a call, and what was looked at to choose them.
 #[derive(Debug)]
-pub(crate) struct AdviceCandidate {
-    pub(crate) id: WorkerId,
+pub(crate) struct AskedWorkers {
+    pub(crate) workers: Vec<(WorkerId, u64)>,
+    /// Tasks of the step that fit on workers which the advisor has not denied.
+    pub(crate) slots: u64,
+    /// Workers that were looked up in the answers to the step's calls.
+    pub(crate) lookups: usize,
+    /// Most workers in the call.
+    most: usize,
+    /// Tickets that are wanted, and those to expect for the workers named.
+    wanted: f64,
+    expected: f64,
+}
+
+impl AskedWorkers {
+    fn new(context: &AskContext, any_room: bool) -> Self {
+        Self {
+            workers: Vec::new(),
+            slots: 0,
+            lookups: 0,
+            most: if any_room { MAX_CALL_WORKERS } else { MAX_CALL_WORKERS_AHEAD },
+            wanted: context.tasks as f64 * TICKETS_PER_TASK + 1.0,
+            expected: 0.0,
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        let enough = self.expected >= self.wanted && self.workers.len() >= MIN_CALL_WORKERS;
+        enough || self.workers.len() >= self.most
+    }
+
+    /// Adds a worker that the advisor allows with a probability. Returns whether no further one is
+    /// needed.
+    fn add(&mut self, one: &AdviceCandidate<'_>, probability: f64) -> bool {
+        let slots = if one.slots > 0 { one.slots as f64 } else { SLOTS_AHEAD };
+        self.expected += slots * probability;
+        self.workers.push((one.id.clone(), one.incarnation_unix_ms));
+        self.is_full()
+    }
+}
+
+/// A worker that the advisor may be asked about.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AdviceCandidate<'a> {
+    pub(crate) id: &'a WorkerId,
     pub(crate) incarnation_unix_ms: u64,
     /// Number of tasks of the step that fit on it now.
     pub(crate) slots: u64,
-    /// Pseudo-random number that differs between steps, see [`spread`].
+    /// Pseudo-random number that differs between steps, see [`Spread`].
     pub(crate) spread: u64,
 }
 
-impl AdviceCandidate {
+/// Finds a worker that the advisor may be asked about by its id.
+type FindCandidate<'a> = Box<dyn Fn(&WorkerId) -> Option<AdviceCandidate<'a>> + 'a>;
+
+/// Workers that the advisor may be asked about for one step.
+pub(crate) struct AdviceCandidates<'a> {
+    /// Those with room, in the order in which calls name them.
+    with_room: Vec<AdviceCandidate<'a>>,
+    /// The others, in the order in which calls name them.
+    without_room: Vec<AdviceCandidate<'a>>,
+    find: FindCandidate<'a>,
+}
+
+impl<'a> AdviceCandidates<'a> {
+    /// Sorts the workers that a step may use.
+    ///
     /// Workers with room for several tasks come first, since each worker named takes time.
-    pub(crate) fn order(&self) -> (std::cmp::Reverse<u64>, u64) {
+    pub(crate) fn new(
+        all: impl Iterator<Item = AdviceCandidate<'a>>,
+        find: FindCandidate<'a>,
+    ) -> Self {
         /// Workers with room for at least this many tasks are equally good.
         const MANY_SLOTS: u64 = 3;
-        (std::cmp::Reverse(self.slots.min(MANY_SLOTS)), self.spread)
+        let (mut with_room, mut without_room): (Vec<_>, Vec<_>) =
+            all.partition(|one| one.slots > 0);
+        with_room
+            .sort_unstable_by_key(|one| (std::cmp::Reverse(one.slots.min(MANY_SLOTS)), one.spread));
+        without_room.sort_unstable_by_key(|one| one.spread);
+        Self { with_room, without_room, find }
+    }
+
+    fn get(&self, id: &WorkerId) -> Option<AdviceCandidate<'a>> {
+        (self.find)(id)
     }
 }
 
 /// Pseudo-random order of the workers for a step, so that steps name different workers.
-pub(crate) fn spread(step: &StepKey, worker: &WorkerId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (step, worker).hash(&mut hasher);
-    hasher.finish()
+#[derive(Clone)]
+pub(crate) struct Spread(DefaultHasher);
+
+impl Spread {
+    pub(crate) fn new(step: &StepKey) -> Self {
+        let mut hasher = DefaultHasher::new();
+        step.hash(&mut hasher);
+        Self(hasher)
+    }
+
+    /// Place of a worker in the order.
+    pub(crate) fn place(&self, worker: &WorkerId) -> u64 {
+        let mut hasher = self.0.clone();
+        worker.hash(&mut hasher);
+        hasher.finish()
+    }
 }
 
 /// Expected duration of a call at the advisor.
--- a/components/cell/src/ask.rs
+++ b/components/cell/src/ask.rs
@@ -1,13 +1,14 @@
 //! Requests advice for steps that may start soon.
 
 use eventlog::event;
-use types::Millis;
+use types::{Millis, WorkerId};
 
 use crate::action::Action;
-use crate::advice::{AdviceCandidate, AskContext, call_ms, spread};
+use crate::advice::{AdviceCandidate, AdviceCandidates, AskContext, Spread, call_ms};
 use crate::cell::Cell;
 use crate::model::AdvicePolicy;
 use crate::place::WaitingStep;
+use crate::worker::Worker;
 
 /// A ticket is renewed this long before it expires, plus the duration of a short call.
 const ADVICE_LEAD_MS: Millis = Millis(150);
@@ -33,7 +34,8 @@
         tasks: u64,
     ) {
         let WaitingStep { key, spec, queue, has_turn, now, .. } = *waiting;
-        let Some(step) = self.step(key) else { return };
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(key.occurrence, key.step) else { return };
         if step.advice.call_pending() {
             self.rooms.get_mut(&queue.service).claim(&spec.charge(), tasks);
             return;
@@ -49,18 +51,6 @@
         if !fits && !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
             return;
         }
-        self.waiting.advice_scans += 1;
-        let usable = self.advice_candidates(waiting);
-        let Some(step) = self.step(key) else { return };
-        let slots = usable.iter().filter(|one| !step.advice.is_denied(&one.id));
-        let slots = slots.fold(0u64, |sum, one| sum.saturating_add(one.slots));
-        let enough_slots = slots >= if spec.gang { tasks } else { 1 };
-        if fits && !enough_slots {
-            fits = false;
-            if !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
-                return;
-            }
-        }
         let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(step) = job.step(key.occurrence, key.step) else { return };
         let lead_ms = ADVICE_LEAD_MS + Millis(call_ms(advice, RENEWED_WORKERS) as u64);
@@ -70,7 +60,17 @@
             allow_rate: self.allow_rates.get(&job.record.queue),
             now,
         };
-        let workers = step.advice.workers_to_ask(&usable, &context);
+        let asked = step.advice.workers_to_ask(&self.advice_candidates(waiting), &context);
+        self.waiting.advice_scans += 1;
+        self.waiting.advice_lookups += asked.lookups as u64;
+        let enough_slots = asked.slots >= if spec.gang { tasks } else { 1 };
+        if fits && !enough_slots {
+            fits = false;
+            if !asks_anyway && !self.frees_in_time(waiting, advice, tasks) {
+                return;
+            }
+        }
+        let workers = asked.workers;
         if workers.is_empty() {
             return;
         }
@@ -100,22 +100,27 @@
     }
 
     /// Workers that may run tasks of a step, in the order in which calls name them.
-    fn advice_candidates(&self, waiting: &WaitingStep<'_>) -> Vec<AdviceCandidate> {
+    fn advice_candidates<'a>(&'a self, waiting: &'a WaitingStep<'_>) -> AdviceCandidates<'a> {
         let WaitingStep { key, spec, queue, now, .. } = *waiting;
-        let mut usable: Vec<AdviceCandidate> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.accepts(queue, spec, now) && worker.report.capacity.covers(&spec.charge())
-            })
-            .map(|(id, worker)| AdviceCandidate {
-                id: id.clone(),
-                incarnation_unix_ms: worker.incarnation_unix_ms,
-                slots: worker.slots(key, spec),
-                spread: spread(key, id),
-            })
-            .collect();
-        usable.sort_unstable_by_key(AdviceCandidate::order);
-        usable
+        let charge = spec.charge();
+        let spread = Spread::new(key);
+        let usable = move |worker: &Worker| {
+            worker.accepts(queue, spec, now) && worker.report.capacity.covers(&charge)
+        };
+        let candidate = move |id: &'a WorkerId, worker: &Worker| AdviceCandidate {
+            id,
+            incarnation_unix_ms: worker.incarnation_unix_ms,
+            slots: worker.slots(key, spec),
+            spread: spread.place(id),
+        };
+        let find = {
+            let candidate = candidate.clone();
+            move |id: &WorkerId| {
+                let (id, worker) = self.workers.get_key_value(id)?;
+                usable(worker).then(|| candidate(id, worker))
+            }
+        };
+        let all = self.workers.iter().filter(|(_, worker)| usable(worker));
+        AdviceCandidates::new(all.map(|(id, worker)| candidate(id, worker)), Box::new(find))
     }
 }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -72,7 +72,8 @@
             if !worker.free().covers(&charge) && !spec.same_rack {
                 return;
             }
-            let of_step = worker.count_runs(key);
+            let counts = spec.same_rack || spec.max_per_worker.is_some();
+            let of_step = if counts { worker.count_runs(key) } else { 0 };
             if of_step > 0 && spec.same_rack {
                 rack.clone_from(&worker.report.rack);
             }
--- a/components/cell/src/waiting.rs
+++ b/components/cell/src/waiting.rs
@@ -16,8 +16,10 @@
     pub over_share: u64,
     /// They are too late to be of use.
     pub overdue: u64,
-    /// Times in this term that all workers were examined to ask for advice on a step.
+    /// Times in this term that workers were chosen for a call for advice on a step.
     pub advice_scans: u64,
+    /// Workers that were looked up in the answers to earlier calls for that.
+    pub advice_lookups: u64,
 }
 
 impl WaitingSteps {
@@ -28,7 +30,8 @@
 
     /// Replaces the counts of steps by those of a round.
     pub(crate) fn count(&mut self, candidates: &[Candidate]) {
-        *self = Self { advice_scans: self.advice_scans, ..Self::default() };
+        let Self { advice_scans, advice_lookups, .. } = *self;
+        *self = Self { advice_scans, advice_lookups, ..Self::default() };
         for candidate in candidates {
             let count = match candidate.rank.outlook {
                 Outlook::InTime => &mut self.in_time,
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -205,12 +205,15 @@
     pub(crate) fn slots(&self, key: &StepKey, spec: &StepSpec) -> u64 {
         let free = self.free();
         let charge = spec.charge();
+        if !free.covers(&charge) {
+            return 0;
+        }
         let fit = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
         let by_room = fit(free.cpu_milli, charge.cpu_milli)
             .min(fit(free.mem_mb, charge.mem_mb))
             .min(fit(free.accels, charge.accels));
-        let max = spec.max_per_worker.map_or(u64::MAX, u64::from);
-        by_room.min(max.saturating_sub(self.count_runs(key) as u64))
+        let allowed = |max| u64::from(max).saturating_sub(self.count_runs(key) as u64);
+        by_room.min(spec.max_per_worker.map_or(u64::MAX, allowed))
     }
 
     /// Estimate of the worker's clock.
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -367,6 +367,11 @@
             .is_some_and(|job| job.spec.steps.iter().any(|step| step.long_running))
     }
 
+    /// Steps that wait for workers at the latest leader.
+    pub fn waiting_steps(&self) -> cell::WaitingSteps {
+        self.terms.last().map(|term| term.cell.waiting_steps()).unwrap_or_default()
+    }
+
     /// State of a job at the latest leader.
     pub fn status(&self, id: &JobId) -> Option<cell::JobStatus> {
         self.terms.last()?.cell.status(id)
