cell: a silent worker holds back only the tasks that may run there

Cause: while one worker was unseen, no inherited step could start that may have been started before, whatever ran on that worker; and all waiting tasks of inherited jobs counted against the limits of their teams as if they ran unseen, which left no room for new jobs. Class: a part whose state is unknown stops the whole.

Change: the roster names the tasks of silent workers and of workers that drain. Such a worker gets no other tasks until a roster that does not name its tasks is stored, so the list holds whenever it is read. It includes tasks whose ends are not stored. A drained, empty worker is reported like a silent one. A leader that hands over stores a last roster beside its last changes. A new leader holds back the named tasks; a worker that the roster does not describe holds back all started ones, as before. Only tasks held back count against limits.

Conclusion: holds where the former leader knew; a leader that is slow for seconds does not.

--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -80,7 +80,8 @@
             ids.iter().filter_map(|id| self.jobs.get(id)).map(Job::progress).collect();
         let mut ends = Vec::new();
         for (id, worker) in &self.workers {
-            let covered = worker.unstored_ends.iter().filter(|(_, job)| ids.contains(job));
+            let covered =
+                worker.unstored_ends.iter().filter(|(_, task)| ids.contains(&task.step.job));
             ends.extend(covered.map(|(sequence, _)| StoredEnd {
                 worker: id.clone(),
                 incarnation_unix_ms: worker.incarnation_unix_ms,
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -18,6 +18,7 @@
 use crate::model::{
     FinalState, JobRecord, Policy, Progress, QueuePolicy, StepKey, StepSpec, TaskKey,
 };
+use crate::recovery::HeldTasks;
 use crate::room::Rooms;
 use crate::waiting::WaitingSteps;
 use crate::worker::Worker;
@@ -71,6 +72,8 @@
     /// An inherited task may run on a worker that this leader has not seen yet.
     pub(crate) recovering: bool,
     pub(crate) unseen_logged_ms: Millis,
+    /// Inherited tasks that wait for workers that this leader has not seen.
+    pub(crate) held_tasks: HeldTasks,
     /// Resources of the tasks of urgent steps left without a worker in this scheduling round.
     pub(crate) urgent_demand: Resources,
     /// Budget for sending unanswered starts again.
@@ -112,6 +115,7 @@
             actions: Vec::new(),
             recovering: true,
             unseen_logged_ms: Millis(0),
+            held_tasks: HeldTasks::default(),
             urgent_demand: Resources::ZERO,
             start_retries: RetryBudget::default(),
             may_start: true,
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -42,7 +42,7 @@
         if self.dirty.contains(&end.task.step.job)
             && let Some(worker) = self.workers.get_mut(id)
         {
-            worker.unstored_ends.insert(end.sequence, end.task.step.job.clone());
+            worker.unstored_ends.insert(end.sequence, end.task.clone());
         }
     }
 
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod preempt;
 mod queries;
 mod ranking;
+mod recovery;
 mod room;
 mod roster;
 mod runs;
--- a/components/cell/src/periodic.rs
+++ b/components/cell/src/periodic.rs
@@ -53,15 +53,6 @@
         self.needs_scheduling = true;
     }
 
-    /// Ends recovery once no worker can run inherited tasks unseen, so that these can start.
-    pub(crate) fn check_recovery(&mut self, now: Millis) {
-        if self.recovering && self.all_workers_seen(now) {
-            self.recovering = false;
-            event!("cell.recovered", "epoch" => self.epoch, "workers" => self.workers.len(),
-                "jobs" => self.jobs.len());
-        }
-    }
-
     fn retry_stops(&mut self, now: Millis) {
         for (id, worker) in &mut self.workers {
             if !worker.reachable && now.since(worker.last_answer_ms) > MAX_POLL_AGE_MS {
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -8,10 +8,8 @@
 use crate::job::Phase;
 use crate::model::{StepSpec, TaskKey};
 use crate::runs::{add_team_usage, new_run};
-use crate::worker::{RunState, Worker};
+use crate::worker::RunState;
 
-/// Interval of the log lines on workers that recovery waits for.
-const UNSEEN_LOG_INTERVAL_MS: Millis = Millis(1_000);
 /// Consecutive polls that must miss a run before it counts as lost.
 const MAX_MISSED_POLLS: u32 = 2;
 /// Delay before a task whose run was lost is started again.
@@ -135,6 +133,7 @@
     fn mark_attached(&mut self, id: &WorkerId, answer: &PollAnswer, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.attached = true;
+        worker.former_tasks = None;
         self.needs_scheduling = true;
         event!("worker.attached", "worker" => id.as_str(), "active" => answer.active.len(),
             "ended" => answer.ended.len(), "epoch" => self.epoch,
@@ -294,33 +293,6 @@
         }
     }
 
-    /// Whether every worker that may run inherited tasks was seen, or its leases have expired.
-    pub(crate) fn all_workers_seen(&self, now: Millis) -> bool {
-        !self.workers.is_empty() && self.unseen_workers(now).next().is_none()
-    }
-
-    /// Workers that may run inherited tasks that this leader has not seen.
-    fn unseen_workers(&self, now: Millis) -> impl Iterator<Item = (&WorkerId, &Worker)> {
-        let unseen = move |worker: &Worker| !worker.attached && now < worker.leases_end_ms();
-        self.workers.iter().filter(move |(_, worker)| unseen(worker))
-    }
-
-    /// Logs once a second which workers recovery waits for.
-    pub(crate) fn log_unseen_workers(&mut self, now: Millis) {
-        if self.unseen_logged_ms == Millis(0) {
-            // Skips the first second, in which most workers answer.
-            self.unseen_logged_ms = now;
-        }
-        if now.since(self.unseen_logged_ms) < UNSEEN_LOG_INTERVAL_MS {
-            return;
-        }
-        self.unseen_logged_ms = now;
-        for (id, worker) in self.unseen_workers(now) {
-            event!("cell.recovery_waiting", "worker" => id.as_str(), "listed" => worker.listed,
-                "for_ms" => worker.leases_end_ms().since(now).0, "epoch" => self.epoch);
-        }
-    }
-
     /// Drops the runs of workers that do not answer and whose leases have certainly expired.
     pub(crate) fn drop_expired_runs(&mut self, now: Millis) {
         let expired: Vec<WorkerId> = self
--- /dev/null
+++ b/components/cell/src/recovery.rs
@@ -0,0 +1,130 @@
+//! Recovery after a change of leader: which inherited tasks wait for workers that were not seen yet.
+//!
+//! Load pattern: some of hundreds of workers leave or are cut off while the leader changes in a
+//! burst. Until their leases have expired they may run inherited tasks. Only these wait: the former
+//! leader's roster names the tasks of workers that had fallen silent. A silent worker that the
+//! roster does not describe may run any inherited task that was started.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use eventlog::event;
+use types::{Millis, Resources, TeamId, WorkerId};
+
+use crate::cell::Cell;
+use crate::job::{Job, Phase};
+use crate::model::{StepKey, TaskKey};
+use crate::worker::Worker;
+
+/// Interval of the log lines on workers that recovery waits for.
+const UNSEEN_LOG_INTERVAL_MS: Millis = Millis(1_000);
+
+/// Inherited tasks that may run on workers that this leader has not seen.
+#[derive(Debug, Default)]
+pub(crate) struct HeldTasks {
+    /// Any inherited task that may have been started: it is not known what runs on a worker.
+    pub(crate) all: bool,
+    /// Tasks that the roster names.
+    tasks: BTreeSet<TaskKey>,
+    /// Resources that these tasks may use, by team.
+    usage: BTreeMap<TeamId, Resources>,
+}
+
+impl HeldTasks {
+    /// Whether a task waits for an unseen worker that may run it.
+    pub(crate) fn holds_task(&self, step: &StepKey, index: u32) -> bool {
+        !self.tasks.is_empty() && self.tasks.contains(&TaskKey { step: step.clone(), index })
+    }
+
+    /// Resources that the team may use on unseen workers.
+    pub(crate) fn usage(&self, team: &TeamId) -> Resources {
+        self.usage.get(team).copied().unwrap_or_default()
+    }
+
+    fn add_usage(&mut self, team: Option<&TeamId>, resources: &Resources) {
+        let Some(team) = team else { return };
+        let usage = self.usage.entry(team.clone()).or_default();
+        *usage = usage.plus(resources);
+    }
+
+    /// Counts all waiting tasks of a job that may have been started.
+    fn add_started_steps(&mut self, job: &Job) {
+        for occurrence in job.open_occurrences.values() {
+            let steps = occurrence.steps.iter().zip(&job.record.spec.steps);
+            for (step, spec) in steps.filter(|(step, _)| !step.never_started) {
+                let need = spec.need.times(u64::from(step.waiting));
+                self.add_usage(job.record.team.as_ref(), &need);
+            }
+        }
+    }
+}
+
+impl Cell {
+    /// Ends recovery once no worker can run inherited tasks unseen.
+    pub(crate) fn check_recovery(&mut self, now: Millis) {
+        if self.recovering && self.all_workers_seen(now) {
+            self.recovering = false;
+            event!("cell.recovered", "epoch" => self.epoch, "workers" => self.workers.len(),
+                "jobs" => self.jobs.len());
+        }
+    }
+
+    /// Determines the tasks that wait for unseen workers.
+    pub(crate) fn update_held_tasks(&mut self, now: Millis) {
+        let mut held = HeldTasks::default();
+        if self.recovering {
+            // Without any worker in the list it is not known either which ones there are.
+            held.all = self.workers.is_empty();
+            for (_, worker) in self.unseen_workers(now) {
+                match &worker.former_tasks {
+                    Some(tasks) => held.tasks.extend(tasks.iter().cloned()),
+                    None => held.all = true,
+                }
+            }
+            self.count_held_usage(&mut held);
+        }
+        self.held_tasks = held;
+    }
+
+    fn count_held_usage(&self, held: &mut HeldTasks) {
+        if held.all {
+            let open = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+            open.filter(|job| job.inherited).for_each(|job| held.add_started_steps(job));
+            return;
+        }
+        for key in held.tasks.clone() {
+            let Some(job) = self.jobs.get(&key.step.job) else { continue };
+            let waits = job.task(&key).is_some_and(|task| task.phase == Phase::Waiting);
+            if let Some(spec) = job.record.step(&key).filter(|_| waits) {
+                held.add_usage(job.record.team.as_ref(), &spec.need);
+            }
+        }
+    }
+
+    /// Whether every worker that may run inherited tasks was seen, or its leases have expired.
+    fn all_workers_seen(&self, now: Millis) -> bool {
+        !self.workers.is_empty() && self.unseen_workers(now).next().is_none()
+    }
+
+    /// Workers that may run inherited tasks that this leader has not seen.
+    fn unseen_workers(&self, now: Millis) -> impl Iterator<Item = (&WorkerId, &Worker)> {
+        let unseen = move |worker: &Worker| !worker.attached && now < worker.leases_end_ms();
+        self.workers.iter().filter(move |(_, worker)| unseen(worker))
+    }
+
+    /// Logs once a second which workers recovery waits for.
+    pub(crate) fn log_unseen_workers(&mut self, now: Millis) {
+        if self.unseen_logged_ms == Millis(0) {
+            // Skips the first second, in which most workers answer.
+            self.unseen_logged_ms = now;
+        }
+        if now.since(self.unseen_logged_ms) < UNSEEN_LOG_INTERVAL_MS {
+            return;
+        }
+        self.unseen_logged_ms = now;
+        for (id, worker) in self.unseen_workers(now) {
+            event!("cell.recovery_waiting", "worker" => id.as_str(), "listed" => worker.listed,
+                "for_ms" => worker.leases_end_ms().since(now).0, "epoch" => self.epoch,
+                "tasks" => worker.former_tasks.as_ref().map(Vec::len));
+        }
+    }
+}
--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -5,8 +5,11 @@
 //! wait; without it the wait is a full lease duration from the change of leader.
 //!
 //! A worker that a stored roster reports as silent gets neither a lease nor tasks until a newer
-//! roster is stored, so that the roster holds whenever it is read.
+//! roster is stored, so that the roster holds whenever it is read. The same goes for the tasks that it
+//! names: it does so for silent workers and for those that drain, which may leave before the next
+//! leader hears of them. One that drains and is empty needs no lease either.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use eventlog::event;
@@ -14,10 +17,13 @@
 use types::{Millis, Resources, WorkerId};
 
 use crate::cell::Cell;
+use crate::model::TaskKey;
 use crate::worker::{Worker, WorkerReport};
 
 /// A worker without an answer for this long is reported as silent; shorter gaps are common.
 const SILENT_AFTER_MS: Millis = Millis(1_000);
+/// Most tasks that an entry names. A worker of 64 cores runs some tens.
+const MAX_NAMED_TASKS: usize = 200;
 /// The remaining lease time is rounded up to a multiple of this, so that the roster changes, and is
 /// stored, less often.
 const LEASE_LEFT_STEP_MS: u64 = 500;
@@ -34,11 +40,25 @@
     /// Set for a silent worker: upper bound on the remaining time of its leases. Valid from
     /// whenever the roster is read, since the leases are not renewed.
     pub silent_lease_left_ms: Option<Millis>,
+    /// For a worker that is silent or drains: the only tasks that may run there, or have run there
+    /// and are not stored as ended; none if not known.
+    pub tasks: Option<Vec<TaskKey>>,
 }
 
 impl Cell {
     /// Entries of all workers that may run tasks, to be stored for the next leader.
     pub fn roster(&mut self, now: Millis) -> Vec<RosterRow> {
+        self.roster_with(SILENT_AFTER_MS, now)
+    }
+
+    /// Entries for the end of a term, after which no worker gets orders: one that did not answer the
+    /// last call is silent.
+    pub fn last_roster(&mut self, now: Millis) -> Vec<RosterRow> {
+        self.set_may_start(false);
+        self.roster_with(Millis(0), now)
+    }
+
+    fn roster_with(&mut self, silent_after_ms: Millis, now: Millis) -> Vec<RosterRow> {
         let mut rows = Vec::new();
         for worker in self.workers.values_mut() {
             // An unlisted worker may still run tasks, even if it was draining: it may be cut off
@@ -46,13 +66,18 @@
             if !worker.listed && now >= worker.leases_end_ms() {
                 continue;
             }
-            let silent_lease_left_ms = silent_lease_left_ms(worker, now);
-            worker.reported_silent |= silent_lease_left_ms.is_some();
+            let is_silent =
+                !worker.reachable && now.since(worker.last_answer_ms) >= silent_after_ms;
+            let tasks = (is_silent || worker.report.draining).then(|| name_tasks(worker)).flatten();
+            let is_empty = tasks.as_ref().is_some_and(Vec::is_empty);
+            let reports = is_silent || (worker.report.draining && is_empty);
+            worker.reported_silent |= reports;
             rows.push(RosterRow {
                 worker: worker.report.id.clone(),
                 address: worker.report.address,
                 incarnation_unix_ms: worker.incarnation_unix_ms,
-                silent_lease_left_ms,
+                silent_lease_left_ms: reports.then(|| lease_left_ms(worker, now)),
+                tasks,
             });
         }
         rows
@@ -60,21 +85,30 @@
 
     /// Records that a roster is stored and can no longer be replaced by an earlier one.
     pub fn roster_stored(&mut self, rows: &[RosterRow]) {
-        for row in rows.iter().filter(|row| row.silent_lease_left_ms.is_none()) {
-            if let Some(worker) = self.workers.get_mut(&row.worker) {
+        for row in rows {
+            let Some(worker) = self.workers.get_mut(&row.worker) else { continue };
+            if row.silent_lease_left_ms.is_none() {
                 self.needs_scheduling |= worker.reported_silent;
                 worker.reported_silent = false;
             }
+            if row.tasks.is_none() {
+                self.needs_scheduling |= worker.named_tasks.is_some();
+                worker.named_tasks = None;
+            }
         }
     }
 
     /// Applies a roster entry of the former leader. Listed workers must have been added before.
     pub fn restore_roster_row(&mut self, row: &RosterRow, now: Millis) {
         self.add_former_leader_worker(placeholder_report(row), now);
-        let Some(left_ms) = row.silent_lease_left_ms else { return };
         let Some(worker) = self.workers.get_mut(&row.worker) else { return };
+        worker.named_tasks.clone_from(&row.tasks);
+        if !worker.attached {
+            worker.former_tasks.clone_from(&row.tasks);
+        }
+        let Some(left_ms) = row.silent_lease_left_ms else { return };
         event!("worker.reported_silent", "worker" => row.worker.as_str(), "left_ms" => left_ms.0,
-            "listed" => worker.listed);
+            "listed" => worker.listed, "tasks" => row.tasks.as_ref().map(Vec::len));
         worker.reported_silent = true;
         if !worker.attached {
             worker.unseen_runs_until_ms = now + left_ms;
@@ -97,9 +131,27 @@
     }
 }
 
-/// Time until the leases of a silent worker expire, rounded up; none if it is not silent.
-fn silent_lease_left_ms(worker: &Worker, now: Millis) -> Option<Millis> {
-    let silent = !worker.reachable && now.since(worker.last_answer_ms) >= SILENT_AFTER_MS;
+/// Time until the leases of a worker expire, rounded up.
+fn lease_left_ms(worker: &Worker, now: Millis) -> Millis {
     let left_ms = worker.leases_end_ms().since(now);
-    silent.then(|| Millis(left_ms.0.div_ceil(LEASE_LEFT_STEP_MS) * LEASE_LEFT_STEP_MS))
+    Millis(left_ms.0.div_ceil(LEASE_LEFT_STEP_MS) * LEASE_LEFT_STEP_MS)
+}
+
+/// The only tasks that may run on a worker that takes no new ones, or have run there and are not
+/// stored as ended; none if not known. Those named before are kept while they include all of these,
+/// so that the roster is not stored again with each end.
+fn name_tasks(worker: &mut Worker) -> Option<Vec<TaskKey>> {
+    if !worker.attached {
+        return worker.former_tasks.clone();
+    }
+    let current = worker.runs.keys().chain(worker.unstored_ends.values());
+    let named = worker.named_tasks.as_ref();
+    let is_named = |task| named.is_some_and(|named| named.contains(task));
+    let is_empty = worker.runs.is_empty() && worker.unstored_ends.is_empty();
+    if is_empty || !current.clone().all(is_named) {
+        let current: BTreeSet<&TaskKey> = current.collect();
+        let fits = current.len() <= MAX_NAMED_TASKS;
+        worker.named_tasks = fits.then(|| current.into_iter().cloned().collect());
+    }
+    worker.named_tasks.clone()
 }
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -9,6 +9,7 @@
 use crate::model::{FinalState, StepKey, StepSpec, TaskKey};
 use crate::place::{Placed, WaitingStep};
 use crate::ranking::{Rank, rank};
+use crate::recovery::HeldTasks;
 
 /// Share of a service's processor capacity that deferrable work leaves free, in percent. A burst
 /// of urgent work arrives within a second, and preempting other work for it takes as long.
@@ -35,6 +36,7 @@
         }
         self.needs_scheduling = false;
         self.check_recovery(now);
+        self.update_held_tasks(now);
         self.urgent_demand = Resources::ZERO;
         self.rooms = self.rooms();
         self.held_workers.clear();
@@ -72,14 +74,12 @@
         let mut found = Vec::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get_mut(id) else { continue };
-            // A worker that was not seen yet may run tasks of this job.
-            let unseen_runs = job.inherited && self.recovering;
             let record = job.record.clone();
             let queue = Cell::queue_policy(&policy, &record);
             let numbers: Vec<u32> = job.open_occurrences.keys().copied().collect();
             for number in numbers {
                 let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
-                for ready in ready_steps(job, number, unseen_runs, now) {
+                for ready in ready_steps(job, number, &self.held_tasks, now) {
                     let rank = rank(
                         queue,
                         due_ms,
@@ -122,6 +122,11 @@
             .filter(|(_, task)| task.phase == Phase::Waiting && task.not_before_ms <= now)
             .map(|(index, _)| index)
             .collect();
+        let waiting = tasks.len();
+        tasks.retain(|index| !self.held_tasks.holds_task(key, *index));
+        if spec.gang && tasks.len() < waiting {
+            return;
+        }
         if spec.gang && tasks.len() < step.tasks.len() {
             self.stop_partial_gang(key, now);
             return;
@@ -271,8 +276,9 @@
     crashes_workers: bool,
 }
 
-fn ready_steps(job: &mut Job, number: u32, unseen_runs: bool, now: Millis) -> Vec<ReadyStep> {
+fn ready_steps(job: &mut Job, number: u32, held: &HeldTasks, now: Millis) -> Vec<ReadyStep> {
     let record = job.record.clone();
+    let holds_started = held.all && job.inherited;
     let Some(occurrence) = job.open_occurrences.get_mut(&number) else { return Vec::new() };
     if occurrence.steps.iter().all(|step| step.waiting == 0) {
         return Vec::new();
@@ -282,7 +288,7 @@
     for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
         let earlier_done =
             spec.after.iter().all(|earlier| done.get(usize::from(*earlier)) == Some(&true));
-        if !earlier_done || step.waiting == 0 || (unseen_runs && !step.never_started) {
+        if !earlier_done || step.waiting == 0 || (holds_started && !step.never_started) {
             continue;
         }
         step.ready_ms.get_or_insert(now);
--- a/components/cell/src/team_limit.rs
+++ b/components/cell/src/team_limit.rs
@@ -1,9 +1,6 @@
 //! Room that the limit of a team leaves for further tasks.
 
-use types::{Resources, TeamId};
-
 use crate::cell::Cell;
-use crate::job::Job;
 use crate::model::{StepKey, StepSpec};
 
 impl Cell {
@@ -23,7 +20,7 @@
         let Some(team) = &job.record.team else { return u64::MAX };
         let Some(policy) = self.policy.teams.get(team) else { return u64::MAX };
         let used = self.used_by_team.get(team).copied().unwrap_or_default();
-        let used = used.plus(&self.possible_usage(team));
+        let used = used.plus(&self.held_tasks.usage(team));
         let max_tasks = |limit: u64, used: u64, need: u64| {
             let usable_limit = limit * (100 - reserved_percent) / 100;
             if limit == 0 || need == 0 {
@@ -36,23 +33,4 @@
             .min(max_tasks(policy.limit.mem_mb, used.mem_mb, spec.need.mem_mb))
             .min(max_tasks(policy.limit.accels, used.accels, spec.need.accels))
     }
-
-    /// Resources that inherited tasks of a team may use on workers that were not seen yet.
-    fn possible_usage(&self, team: &TeamId) -> Resources {
-        if !self.recovering {
-            return Resources::ZERO;
-        }
-        let of_team = |job: &&Job| {
-            job.inherited && job.ended.is_none() && job.record.team.as_ref() == Some(team)
-        };
-        let mut sum = Resources::ZERO;
-        for job in self.jobs.values().filter(of_team) {
-            for occurrence in job.open_occurrences.values() {
-                for (step, spec) in occurrence.steps.iter().zip(&job.record.spec.steps) {
-                    sum = sum.plus(&spec.need.times(u64::from(step.waiting)));
-                }
-            }
-        }
-        sum
-    }
 }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use libs::compact_str::CompactString;
-use types::{JobId, Millis, RackId, Resources, TeamId, WorkerId};
+use types::{Millis, RackId, Resources, TeamId, WorkerId};
 
 use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
 
@@ -99,6 +99,8 @@
     pub(crate) reachable: bool,
     /// A stored roster may report it as silent.
     pub(crate) reported_silent: bool,
+    /// A stored roster may say that no other tasks run there.
+    pub(crate) named_tasks: Option<Vec<TaskKey>>,
     /// Start of the incarnation that answered last, in Unix milliseconds.
     pub(crate) incarnation_unix_ms: u64,
     /// Restarts seen in this epoch.
@@ -112,12 +114,14 @@
     pub(crate) lease_deadline_ms: Millis,
     /// Time until which runs that this leader has not seen may be active there.
     pub(crate) unseen_runs_until_ms: Millis,
+    /// The only tasks that may run there until this leader has seen the worker; none if any may.
+    pub(crate) former_tasks: Option<Vec<TaskKey>>,
     pub(crate) used: Resources,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// Number of the last run end processed.
     pub(crate) last_processed_end: u64,
-    /// Numbers of processed run ends that are not stored yet, with their jobs.
-    pub(crate) unstored_ends: BTreeMap<u64, JobId>,
+    /// Numbers of processed run ends that are not stored yet, with their tasks.
+    pub(crate) unstored_ends: BTreeMap<u64, TaskKey>,
     pub(crate) health: crate::health::Health,
     /// Task that may crash the worker, and has just started there.
     pub(crate) trial: Option<crate::losses::Trial>,
@@ -135,11 +139,13 @@
             attached: false,
             reachable: true,
             reported_silent: false,
+            named_tasks: None,
             clock_ms: Millis(0),
             last_answer_ms: Millis(0),
             last_poll_sent_ms: Millis(0),
             lease_deadline_ms: Millis(0),
             unseen_runs_until_ms: now,
+            former_tasks: None,
             used: Resources::ZERO,
             runs: BTreeMap::new(),
             last_processed_end: 0,
@@ -166,6 +172,7 @@
         self.attached
             && self.reachable
             && !self.reported_silent
+            && self.named_tasks.is_none()
             && self.listed
             && !self.report.draining
             && self.report.service == queue.service
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -53,6 +53,8 @@
     pub crash: u32,
     /// Leaders that die, per tick.
     pub leader_dies: u32,
+    /// Leaders that hand over, per tick: they store a last roster, and another one is elected soon.
+    pub leader_steps_down: u32,
     /// Leaders that are replaced without noticing at once, per tick.
     pub leader_deposed: u32,
     /// Batches and rosters that are not stored, and rosters whose answer is lost.
@@ -300,6 +302,18 @@
         })
     }
 
+    /// Whether the advisor denies a step of a job that is not done all workers that take new work.
+    pub fn is_denied_everywhere(&self, id: &JobId) -> bool {
+        let Some(record) = self.stored_jobs.get(id) else { return false };
+        let takes_work = |worker: &&Worker| worker.up && !worker.draining && !worker.replaced;
+        (0u16..).zip(&record.spec.steps).any(|(step, _)| {
+            let key = StepKey { job: id.clone(), occurrence: 0, step };
+            let mut usable = self.workers.values().filter(takes_work);
+            !self.checks.is_step_done(id, step)
+                && !usable.any(|worker| self.advisor.allows(&key, &worker.id))
+        })
+    }
+
     /// Whether a job has nothing running, although less than half of its service is in use and
     /// there is room for a step whose turn it is on workers that the advisor allows. Deferrable
     /// work may leave a part of a service free, but less than that.
@@ -360,6 +374,11 @@
         running + self.checks.done_tasks(id) < tasks as usize
     }
 
+    /// Queue of a job.
+    pub fn queue(&self, id: &JobId) -> types::QueueId {
+        self.stored_jobs[id].queue.clone()
+    }
+
     /// Whether a job runs until it is cancelled.
     pub fn is_long_running(&self, id: &JobId) -> bool {
         self.stored_jobs
@@ -682,6 +701,9 @@
             term.cell.tick(now);
         }
         self.store_roster();
+        if self.faults.leader_steps_down > 0 && self.chance(self.faults.leader_steps_down) {
+            self.step_down();
+        }
         if self.chance(self.faults.leader_dies) && !self.terms.is_empty() {
             let gap = self.rng.random_range(300..3_000);
             self.kill_leader(gap);
@@ -720,6 +742,19 @@
         self.workers.values().filter(|worker| worker.up && !worker.draining).count() > MIN_WORKERS
     }
 
+    /// The leader hands over, unless its last roster is lost.
+    fn step_down(&mut self) {
+        let now = self.now;
+        let lost = self.chance(self.faults.lose_batch);
+        let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
+        let roster = term.cell.last_roster(now);
+        if !lost {
+            self.stored_roster = roster;
+        }
+        let gap_ms = self.rng.random_range(20..600);
+        self.kill_leader(gap_ms);
+    }
+
     fn kill_leader(&mut self, gap_ms: u64) {
         self.terms.clear();
         self.batch_in_progress = false;
--- /dev/null
+++ b/components/cell/tests/takeovers.rs
@@ -0,0 +1,241 @@
+//! What a new leader waits for: only what may really still run on workers that it has not seen.
+
+mod simulation;
+
+use cell::{
+    Action, ActiveRun, Cell, CellSettings, JobRecord, PollAnswer, RosterRow, StartOrder, StepSpec,
+    TaskKey, WorkerReport,
+};
+use simulation::{job, policy};
+use types::{Millis, Resources, WorkerId};
+
+/// Time of the change of leader.
+const ELECTED_MS: Millis = Millis(3_500);
+
+fn report(name: &str) -> WorkerReport {
+    WorkerReport {
+        id: name.parse().expect("worker id"),
+        incarnation_unix_ms: 5,
+        address: "127.0.0.1:1".parse().expect("address"),
+        service: "service".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, accels: 0 },
+        draining: false,
+        leaves_in_ms: None,
+    }
+}
+
+fn cell(epoch: u64) -> Cell {
+    let settings = CellSettings {
+        lease_ms: Millis(4_500),
+        max_lease_ms: Millis(6_000),
+        ended_retention_ms: Millis(120_000),
+        poll_wait_ms: Millis(0),
+    };
+    let mut cell = Cell::new(settings, epoch, 1_700_000_000_000);
+    cell.set_policy(policy().into());
+    cell
+}
+
+fn one_task_job(id: &str, team: &str, cores: u64) -> JobRecord {
+    let need = Resources { cpu_milli: cores * 1_000, mem_mb: 100, accels: 0 };
+    let step = StepSpec { tasks: 1, need, estimate_ms: Millis(8_000), ..StepSpec::default() };
+    job(id, "batch", team, vec![step])
+}
+
+fn answer(active: Vec<ActiveRun>) -> PollAnswer {
+    PollAnswer {
+        incarnation_unix_ms: 5,
+        clock_ms: Millis(500),
+        active,
+        ended: Vec::new(),
+        more_ended: false,
+    }
+}
+
+fn starts(cell: &mut Cell, now: Millis) -> Vec<StartOrder> {
+    cell.tick(now);
+    cell.schedule(now);
+    let actions = cell.take_actions().into_iter();
+    let order = |action| if let Action::Start(order) = action { Some(*order) } else { None };
+    actions.filter_map(order).collect()
+}
+
+fn jobs_of(orders: &[StartOrder]) -> Vec<&str> {
+    orders.iter().map(|order| order.task.step.job.as_str()).collect()
+}
+
+/// The first leader and its two workers, each of which runs a task.
+struct FirstTerm {
+    cell: Cell,
+    jobs: Vec<JobRecord>,
+    /// Tasks and workers.
+    runs: Vec<(TaskKey, u32, WorkerId)>,
+}
+
+fn first_term() -> FirstTerm {
+    let mut cell = cell(1);
+    for name in ["w0", "w1"] {
+        cell.worker_listed(report(name), Millis(1));
+        let id = name.parse().expect("worker id");
+        cell.poll_answered(&id, Millis(1), &answer(Vec::new()), Millis(2));
+    }
+    let jobs: Vec<JobRecord> =
+        ["00000000000000a1", "00000000000000a2"].map(|id| one_task_job(id, "large", 12)).into();
+    for record in &jobs {
+        cell.add_job(record.clone(), Millis(10));
+    }
+    let orders = starts(&mut cell, Millis(20));
+    assert_eq!(orders.len(), 2);
+    let runs = orders.iter().map(|one| (one.task.clone(), one.attempt, one.worker.clone()));
+    FirstTerm { cell, jobs, runs: runs.collect() }
+}
+
+impl FirstTerm {
+    /// Starts the next term, which does not hear of the worker of the first run. The other one
+    /// answers. The jobs `more` were accepted by the first leader and not started.
+    fn next(&self, roster: &[RosterRow], more: Vec<JobRecord>) -> Cell {
+        let mut next = cell(2);
+        for record in self.jobs.iter().cloned().chain(more) {
+            next.restore(record, None, ELECTED_MS);
+        }
+        for name in ["w0", "w1"] {
+            next.worker_listed(report(name), ELECTED_MS);
+        }
+        for row in roster {
+            next.restore_roster_row(row, ELECTED_MS);
+        }
+        let (task, attempt, worker) = self.runs[1].clone();
+        let run =
+            ActiveRun { task, attempt, checkpoint: Default::default(), percent: 40, gauge: 0 };
+        next.poll_answered(&worker, ELECTED_MS, &answer(vec![run]), ELECTED_MS + Millis(5));
+        next
+    }
+}
+
+/// While one of hundreds of workers was silent, no inherited job could start anything.
+#[test]
+fn a_silent_worker_holds_back_only_its_own_tasks() {
+    let mut first = first_term();
+    let silent = first.runs[0].2.clone();
+    first.cell.poll_order(&silent, true, Millis(30)).expect("a poll");
+    first.cell.poll_failed(&silent, Millis(500));
+    let roster = first.cell.roster(Millis(3_000));
+    let waiting = one_task_job("00000000000000a3", "large", 2);
+    let mut next = first.next(&roster, vec![waiting]);
+    let orders = starts(&mut next, ELECTED_MS + Millis(10));
+    assert_eq!(jobs_of(&orders), ["00000000000000a3"], "the silent worker cannot run it");
+    assert!(starts(&mut next, Millis(5_400)).is_empty(), "its lease may last until 5.5 s");
+}
+
+/// What waits on its own counted against the limit of its team as if it ran on the silent worker,
+/// so that new jobs of the team waited as well.
+#[test]
+fn waiting_tasks_do_not_use_up_the_limit_of_their_team() {
+    let mut first = first_term();
+    let silent = first.runs[0].2.clone();
+    first.cell.poll_failed(&silent, Millis(500));
+    let roster = first.cell.roster(Millis(3_000));
+    // The limit of the team is 24 cores, more than waits, and less than a sixth as much again.
+    let waiting = (0..8).map(|number| one_task_job(&format!("{:016x}", 0xb0 + number), "small", 3));
+    let mut next = first.next(&roster, waiting.collect());
+    next.add_job(one_task_job("00000000000000c1", "small", 1), ELECTED_MS);
+    let orders = starts(&mut next, ELECTED_MS + Millis(10));
+    assert_eq!(orders.len(), 2, "four cores are free: {:?}", jobs_of(&orders));
+}
+
+/// A worker that drains is emptied before it leaves. Its lease was waited for after it had left.
+#[test]
+fn a_worker_that_was_emptied_and_left_holds_nothing_back() {
+    let mut first = first_term();
+    let drained: WorkerId = "w2".parse().expect("worker id");
+    let draining = WorkerReport { draining: true, ..report("w2") };
+    first.cell.worker_listed(draining.clone(), Millis(30));
+    first.cell.poll_answered(&drained, Millis(30), &answer(Vec::new()), Millis(35));
+    let roster = first.cell.roster(Millis(100));
+    let mut next = first.next(&roster, vec![one_task_job("00000000000000a3", "large", 2)]);
+    next.worker_listed(draining, ELECTED_MS);
+    // Both other workers answer.
+    let (task, attempt, worker) = first.runs[0].clone();
+    let run = ActiveRun { task, attempt, checkpoint: Default::default(), percent: 40, gauge: 0 };
+    next.poll_answered(&worker, ELECTED_MS, &answer(vec![run]), ELECTED_MS + Millis(6));
+    assert_eq!(jobs_of(&starts(&mut next, ELECTED_MS + Millis(10))), ["00000000000000a3"]);
+}
+
+/// A leader that hands over tells its successor about workers that have just fallen silent.
+#[test]
+fn the_last_roster_of_a_term_names_the_tasks_of_a_worker_that_just_fell_silent() {
+    let mut first = first_term();
+    let (task, attempt, silent) = first.runs[0].clone();
+    let run = ActiveRun {
+        task: task.clone(),
+        attempt,
+        checkpoint: Default::default(),
+        percent: 40,
+        gauge: 0,
+    };
+    first.cell.poll_answered(&silent, Millis(3_000), &answer(vec![run]), Millis(3_005));
+    first.cell.poll_failed(&silent, Millis(3_400));
+    let before = first.cell.roster(Millis(3_450));
+    assert!(before.iter().all(|row| row.silent_lease_left_ms.is_none()), "{before:?}");
+    let roster = first.cell.last_roster(Millis(3_450));
+    let row = roster.iter().find(|row| row.worker == silent).expect("a row");
+    assert_eq!(row.tasks, Some(vec![task]));
+    let mut next = first.next(&roster, vec![one_task_job("00000000000000a3", "large", 2)]);
+    assert_eq!(jobs_of(&starts(&mut next, ELECTED_MS + Millis(10))), ["00000000000000a3"]);
+}
+
+/// An end that is not stored may be lost with the leader: its task waits like one that runs.
+#[test]
+fn a_roster_names_tasks_whose_ends_are_not_stored() {
+    let mut first = first_term();
+    let (task, attempt, worker) = first.runs[0].clone();
+    let end = cell::EndedRun {
+        sequence: 1,
+        task: task.clone(),
+        attempt,
+        ending: cell::Ending::Done,
+        checkpoint: Default::default(),
+    };
+    let ended = PollAnswer { ended: vec![end], ..answer(Vec::new()) };
+    first.cell.poll_answered(&worker, Millis(100), &ended, Millis(105));
+    first.cell.poll_failed(&worker, Millis(500));
+    let roster = first.cell.last_roster(Millis(600));
+    let row = roster.iter().find(|row| row.worker == worker).expect("a row");
+    assert_eq!(row.tasks, Some(vec![task]));
+    let mut next = first.next(&roster, Vec::new());
+    assert!(starts(&mut next, ELECTED_MS + Millis(10)).is_empty());
+}
+
+/// A draining worker left between its last answer to one leader and the first call of the next.
+#[test]
+fn a_draining_worker_that_left_holds_back_only_its_own_tasks() {
+    let mut first = first_term();
+    let leaving = first.runs[0].2.clone();
+    let draining = WorkerReport { draining: true, ..report(leaving.as_str()) };
+    first.cell.worker_listed(draining, Millis(3_000));
+    let roster = first.cell.roster(Millis(3_000));
+    let mut next = first.next(&roster, vec![one_task_job("00000000000000a3", "large", 2)]);
+    assert_eq!(jobs_of(&starts(&mut next, ELECTED_MS + Millis(10))), ["00000000000000a3"]);
+}
+
+/// The next leader would take a task that was started there after the roster for one that waits.
+#[test]
+fn a_worker_whose_tasks_a_roster_names_gets_no_more_until_a_newer_one_is_stored() {
+    let mut first = first_term();
+    let worker = first.runs[0].2.clone();
+    let name = worker.as_str().to_owned();
+    first.cell.worker_listed(WorkerReport { draining: true, ..report(&name) }, Millis(30));
+    let roster = first.cell.roster(Millis(40));
+    first.cell.roster_stored(&roster);
+    first.cell.worker_listed(report(&name), Millis(50));
+    for number in 0..2 {
+        let id = format!("{:016x}", 0xa3 + number);
+        first.cell.add_job(one_task_job(&id, "large", 4), Millis(60));
+    }
+    assert_eq!(starts(&mut first.cell, Millis(70)).len(), 1, "only the other worker has room");
+    let roster = first.cell.roster(Millis(80));
+    first.cell.roster_stored(&roster);
+    assert_eq!(starts(&mut first.cell, Millis(90)).len(), 1);
+}
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -66,10 +66,17 @@
         }
     }
 
-    /// Stores all pending changes at the end of a term. The next leader recovers what could not be
-    /// stored.
+    /// Stores all pending changes at the end of a term, and beside them the last roster. The next
+    /// leader recovers what could not be stored.
     pub(crate) async fn store_remaining(&self, leader: &Leader) {
-        while let Some(BatchOutcome::Stored(_)) = self.store_next_batch(leader).await {}
+        let roster = leader.cell.borrow_mut().last_roster(clock::now());
+        let changes = async {
+            while let Some(BatchOutcome::Stored(_)) = self.store_next_batch(leader).await {}
+        };
+        let (stored, ()) = tokio::join!(self.write_roster(leader, &roster), changes);
+        if !stored {
+            event!("leader.roster_unstored", "epoch" => leader.epoch());
+        }
     }
 
     /// Stores the next batch. Returns `None` if nothing has changed.
@@ -164,12 +171,24 @@
         if roster == *last_stored {
             return;
         }
-        let Some(revision) = self.roster_revision(leader).await else { return };
-        let value = match encode(&roster) {
+        if self.write_roster(leader, &roster).await {
+            leader.cell.borrow_mut().roster_stored(&roster);
+            *last_stored = roster;
+        } else {
+            // The outcome is unknown: read the revision, then store the roster again.
+            leader.roster_revision.set(None);
+            last_stored.clear();
+        }
+    }
+
+    /// Writes a roster on condition that the previous one is in place. Returns whether it is stored.
+    async fn write_roster(&self, leader: &Leader, roster: &Vec<RosterRow>) -> bool {
+        let Some(revision) = self.roster_revision(leader).await else { return false };
+        let value = match encode(roster) {
             Ok(value) => value,
             Err(error) => {
                 event!("store.encode_failed", "key" => keys::ROSTER, "error" => error.to_string());
-                return;
+                return false;
             }
         };
         let transaction = Transaction {
@@ -181,15 +200,9 @@
             removes: Vec::new(),
         };
         let stored = self.store_result(self.ports.store.commit(&transaction).await);
-        if let Ok(Commit::Done(revision)) = stored {
-            leader.roster_revision.set(Some(revision));
-            leader.cell.borrow_mut().roster_stored(&roster);
-            *last_stored = roster;
-        } else {
-            // The outcome is unknown: read the revision, then store the roster again.
-            leader.roster_revision.set(None);
-            last_stored.clear();
-        }
+        let Ok(Commit::Done(revision)) = stored else { return false };
+        leader.roster_revision.set(Some(revision));
+        true
     }
 
     async fn roster_revision(&self, leader: &Leader) -> Option<u64> {
