cluster: a leader whose machine becomes slow hands over within a second

Cause: a slow leader was told from a busy one by late timers alone. That takes until much is late, since a busy leader is late as well. Class: a fault judged by its consequences instead of by itself.

Change: each process measures that work, the leader ten times a second, others twice. Three times the usual duration, twice in a row, is a slow machine: a leader hands over if at least half of its peers of its size could lead; others leave elections to processes on sound machines for a second, and are not chosen as successors. The usual duration is the shortest of the last 300 to 600 measurements.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -19,6 +19,8 @@
 /// Time for which a process without rules leaves the election to those that have some: a leader
 /// starts nothing without them. Reading them takes one call if the store answers.
 const NO_RULES_DELAY_MS: Millis = Millis(1_000);
+/// Time for which a process on a slow machine leaves the election to others.
+const SLOW_MACHINE_DELAY_MS: Millis = Millis(1_000);
 /// Time without an answer from the store after which peers are contacted, to learn the leader.
 const CONTACT_PEERS_AFTER_MS: Millis = Millis(600);
 
@@ -73,6 +75,11 @@
         leaderless_ms < NO_RULES_DELAY_MS && self.rules.borrow().rules.is_none()
     }
 
+    /// Whether the machine is slower than usual, and the time reserved for others has not passed.
+    fn defers_while_slow(&self, leaderless_ms: Millis) -> bool {
+        leaderless_ms < SLOW_MACHINE_DELAY_MS && self.is_slow.get()
+    }
+
     /// Time since this process first saw that there is no leader.
     fn leaderless_ms(&self) -> Millis {
         let now = clock::now();
@@ -81,10 +88,10 @@
         now.since(since)
     }
 
-    /// A live peer that has much more CPU than this process and is not in cooldown.
+    /// A live peer that has much more CPU than this process and could lead.
     pub(crate) fn larger_peer(&self) -> Option<Peer> {
         let peers = self.peers.borrow();
-        let mut candidates = self.live_states(&peers).filter(|state| !state.cooling_down);
+        let mut candidates = self.live_states(&peers).filter(|state| state.could_lead());
         candidates
             .find(|state| self.is_much_larger(state.peer.cpu_milli))
             .map(|state| state.peer.clone())
@@ -139,6 +146,7 @@
         let leaderless_ms = self.leaderless_ms();
         if self.defers_to_larger_peer(last.max_cpu_milli, leaderless_ms)
             || self.defers_without_rules(leaderless_ms)
+            || self.defers_while_slow(leaderless_ms)
         {
             return Ok(());
         }
--- a/components/cluster/src/lag.rs
+++ b/components/cluster/src/lag.rs
@@ -2,7 +2,7 @@
 //!
 //! When the leader's machine slows down several-fold during a burst, its answers and lease renewals
 //! are late, worker leases expire, and every retried call adds load. Handing leadership over to a
-//! process that is not slow takes half a second.
+//! process that is not slow takes half a second. See [`crate::SpeedMonitor`] for a quicker sign.
 
 use types::Millis;
 
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -21,6 +21,7 @@
 mod requests;
 mod retry_after;
 mod rules;
+mod speed;
 
 pub use lag::LagDetector;
 pub use local_rules::RulesProblem;
@@ -33,3 +34,4 @@
 };
 pub use requests::{CancelOutcome, JobLookup, SubmitOutcome};
 pub use retry_after::retry_after_s;
+pub use speed::{HashProbe, Processor, SpeedMonitor};
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use cell::CellSettings;
 use clock::CancellationToken;
@@ -20,6 +21,7 @@
 use crate::local_rules::{LocalRules, RulesProblem};
 use crate::peers::{Answer, Heartbeat, LeaderInfo, Message, Peer};
 use crate::ports::{Ports, Rules, StoreError};
+use crate::speed::SpeedMonitor;
 
 /// Period of heartbeats to the leader: four of them fit into a leader's lease.
 const HEARTBEAT_PERIOD_MS: Millis = Millis(250);
@@ -42,6 +44,8 @@
 /// Time for which a process that was too slow to lead, or could not load the state, does not stand
 /// for election.
 pub(crate) const LEADER_COOLDOWN_MS: Millis = Millis(30_000);
+/// Period of measuring the speed of the machine while another process leads.
+const SPEED_PERIOD_MS: Millis = Millis(500);
 /// Number of processes in cooldown at which no further hand-over takes place: the load is then too
 /// high for any process, and a hand-over would only cost time.
 const MAX_COOLING_DOWN: usize = 2;
@@ -78,12 +82,18 @@
     pub(crate) store_answered_ms: Millis,
     /// The peer recently handed over leadership because it was too slow.
     pub(crate) cooling_down: bool,
+    /// The peer's machine is slower than usual.
+    pub(crate) is_slow: bool,
 }
 
 impl PeerState {
     pub(crate) fn is_live(&self, now: Millis) -> bool {
         self.last_heartbeat_ms.is_some_and(|last| now.since(last) < PEER_TIMEOUT_MS)
     }
+
+    pub(crate) fn could_lead(&self) -> bool {
+        !self.cooling_down && !self.is_slow
+    }
 }
 
 /// One process of the cluster.
@@ -109,6 +119,9 @@
     pub(crate) store_failures: StdCell<u32>,
     pub(crate) pending_cache: RefCell<BTreeMap<types::QueueId, (u64, Millis)>>,
     pub(crate) stopping: CancellationToken,
+    /// The last measurement of the machine's speed, and whether the machine is slower than usual.
+    pub(crate) probe: StdCell<Duration>,
+    pub(crate) is_slow: StdCell<bool>,
     /// Does not stand for election before this time.
     pub(crate) cooldown_until_ms: StdCell<Millis>,
     /// Since when the store has had no leader, as seen by this process.
@@ -135,6 +148,8 @@
             store_failures: StdCell::default(),
             pending_cache: RefCell::default(),
             stopping: CancellationToken::new(),
+            probe: StdCell::default(),
+            is_slow: StdCell::default(),
             cooldown_until_ms: StdCell::default(),
             leaderless_since_ms: StdCell::default(),
         })
@@ -221,6 +236,7 @@
             peers: self.peers_to_report(known_peers),
             known_peers: self.peers.borrow().len(),
             cooling_down: self.cooling_down(),
+            is_slow: self.is_slow.get(),
         }
     }
 
@@ -256,6 +272,7 @@
             last_heartbeat_ms: Some(now),
             store_answered_ms: now - heartbeat.store_age_ms,
             cooling_down: heartbeat.cooling_down,
+            is_slow: heartbeat.is_slow,
         };
         self.peers.borrow_mut().insert(heartbeat.from.name.clone(), state);
         for peer in &heartbeat.peers {
@@ -265,6 +282,7 @@
                     last_heartbeat_ms: None,
                     store_answered_ms: Millis(0),
                     cooling_down: false,
+                    is_slow: false,
                 });
             }
         }
@@ -359,6 +377,9 @@
     async fn monitor_lag(self: Rc<Self>) {
         let mut last = clock::now();
         let mut lag = LagDetector::default();
+        let mut speed = SpeedMonitor::default();
+        let mut measured_ms = last;
+        self.measure_speed(&mut speed);
         loop {
             tokio::time::sleep(TICK_MS.to_duration()).await;
             self.report_rules_state();
@@ -369,23 +390,60 @@
             }
             let late_by_ms = now.since(last + TICK_MS);
             last = now;
+            if self.is_leader() || now.since(measured_ms) >= SPEED_PERIOD_MS {
+                measured_ms = now;
+                self.measure_speed(&mut speed);
+            }
             if !self.is_leader() {
                 lag.reset();
-            } else if lag.record_tick(late_by_ms) && self.may_hand_over() {
-                event!("leader.too_slow", "late_by_ms" => late_by_ms.0);
-                self.cooldown_until_ms.set(now + LEADER_COOLDOWN_MS);
-                self.step_down("short of processor time").await;
+                continue;
             }
+            let is_late = lag.record_tick(late_by_ms);
+            let why = if self.is_slow.get() && self.may_leave_slow_machine() {
+                "the machine is slower than usual"
+            } else if is_late && self.may_hand_over() {
+                "short of processor time"
+            } else {
+                continue;
+            };
+            event!("leader.too_slow", "late_by_ms" => late_by_ms.0, "why" => why,
+                "probe_us" => self.probe.get().as_micros() as u64);
+            self.cooldown_until_ms.set(now + LEADER_COOLDOWN_MS);
+            self.step_down(why).await;
+        }
+    }
+
+    fn measure_speed(&self, speed: &mut SpeedMonitor) {
+        let took = self.ports.processor.measure();
+        let is_slow = speed.record(took);
+        self.probe.set(took);
+        if self.is_slow.replace(is_slow) != is_slow {
+            event!("process.speed", "slow" => is_slow, "probe_us" => took.as_micros() as u64,
+                "usual_us" => speed.usual().as_micros() as u64, "leads" => self.is_leader());
         }
     }
 
     /// Whether a peer with at least as much CPU is available and few processes are in cooldown.
     fn may_hand_over(&self) -> bool {
         let peers = self.peers.borrow();
-        let (cooling_down, available): (Vec<&PeerState>, Vec<&PeerState>) =
-            self.live_states(&peers).partition(|state| state.cooling_down);
-        let is_large_enough = |state: &&PeerState| state.peer.cpu_milli >= self.settings.cpu_milli;
-        cooling_down.len() < MAX_COOLING_DOWN && available.iter().any(is_large_enough)
+        let cooling_down = self.live_states(&peers).filter(|state| state.cooling_down).count();
+        cooling_down < MAX_COOLING_DOWN && self.successors(&peers).0 > 0
+    }
+
+    /// Whether most of the peers with at least as much CPU could lead. Otherwise all machines have
+    /// become slower, and a hand-over would only cost time.
+    fn may_leave_slow_machine(&self) -> bool {
+        let (available, all) = self.successors(&self.peers.borrow());
+        available > 0 && available * 2 >= all
+    }
+
+    /// Number of live peers with at least as much CPU that could lead now, and of all of these.
+    fn successors(&self, peers: &BTreeMap<CompactString, PeerState>) -> (usize, usize) {
+        let large =
+            self.live_states(peers).filter(|state| state.peer.cpu_milli >= self.settings.cpu_milli);
+        large.fold((0, 0), |(available, all), state| {
+            (available + usize::from(state.could_lead()), all + 1)
+        })
     }
 
     /// Whether this process recently handed over leadership because it was short of processor time.
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -64,6 +64,8 @@
     pub(crate) known_peers: usize,
     /// Whether the sender recently handed over leadership because it was too slow.
     pub(crate) cooling_down: bool,
+    /// Whether the sender's machine is slower than usual.
+    pub(crate) is_slow: bool,
 }
 
 /// A request to a peer.
--- a/components/cluster/src/ports.rs
+++ b/components/cluster/src/ports.rs
@@ -12,6 +12,8 @@
 use libs::quick_error::quick_error;
 use types::{Millis, QueueId, TeamId, WorkerId};
 
+use crate::speed::Processor;
+
 /// A boxed future that stays on the current thread.
 pub type LocalBoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
@@ -236,4 +238,6 @@
     pub advisor: Box<dyn Advisor>,
     /// Source of the operators' configuration.
     pub configuration: Box<dyn Configuration>,
+    /// Speed of the processor.
+    pub processor: Box<dyn Processor>,
 }
--- a/components/cluster/tests/lag.rs
+++ b/components/cluster/tests/lag.rs
@@ -1,6 +1,8 @@
-//! Detection of a leader that is short of processor time.
+//! Detection of a leader that is short of processor time, or on a slow machine.
 
-use cluster::LagDetector;
+use std::time::Duration;
+
+use cluster::{LagDetector, SpeedMonitor};
 use types::Millis;
 
 #[test]
@@ -26,3 +28,37 @@
     let ticks = (0..30).take_while(|_| !watch.record_tick(Millis(500))).count();
     assert!(ticks * (100 + 500) < 2_000, "{ticks} ticks");
 }
+
+/// Feeds measurements in microseconds. Returns the number after which the machine counts as slow.
+fn measurements_until_slow(monitor: &mut SpeedMonitor, took_us: &[u64]) -> Option<usize> {
+    let mut measurements = took_us.iter().map(|us| monitor.record(Duration::from_micros(*us)));
+    measurements.position(|slow| slow).map(|before| before + 1)
+}
+
+/// A leader slowed to a fifth was noticed by its late ticks after 2.5 to 6.7 s. Two measurements, half
+/// a second late each, are taken within 1.2 s.
+#[test]
+fn a_machine_slowed_to_a_fifth_is_noticed_by_the_second_measurement() {
+    let mut monitor = SpeedMonitor::default();
+    assert_eq!(measurements_until_slow(&mut monitor, &[30; 50]), None);
+    assert_eq!(measurements_until_slow(&mut monitor, &[150; 5]), Some(2));
+    assert_eq!(measurements_until_slow(&mut monitor, &[30]), None, "it has recovered");
+}
+
+#[test]
+fn load_and_single_interruptions_do_not_count_as_a_slow_machine() {
+    let mut monitor = SpeedMonitor::default();
+    let under_load = [28, 45, 38, 50, 60, 41, 30, 400, 35, 29, 70, 44];
+    let day: Vec<u64> = under_load.into_iter().cycle().take(1_200).collect();
+    assert_eq!(measurements_until_slow(&mut monitor, &day), None);
+}
+
+#[test]
+fn a_machine_that_stays_slow_is_measured_by_its_new_speed() {
+    let mut monitor = SpeedMonitor::default();
+    for us in [30; 300].into_iter().chain([150; 1_000]) {
+        monitor.record(Duration::from_micros(us));
+    }
+    assert!(!monitor.is_slow());
+    assert_eq!(measurements_until_slow(&mut monitor, &[500; 3]), Some(2));
+}
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cell::{
     CellSettings, EndedRun, Ending, JobRecord, JobSpec, PaceOrder, Policy, PollAnswer, PollOrder,
@@ -14,8 +15,8 @@
 };
 use cluster::{
     Advice, Advisor, Change, Commit, Configuration, Directory, Item, LocalBoxFuture, Node,
-    NodeSettings, PollOutcome, Ports, RawRules, Rules, Store, StoreError, StoreResult, Transaction,
-    WorkerChange, Workers,
+    NodeSettings, PollOutcome, Ports, Processor, RawRules, Rules, Store, StoreError, StoreResult,
+    Transaction, WorkerChange, Workers,
 };
 use libs::tokio;
 use types::{Millis, Resources, WorkerId};
@@ -409,6 +410,20 @@
         workers: Box::new(test_ports.clone()),
         advisor: Box::new(test_ports.clone()),
         configuration: Box::new(test_ports),
+        processor: Box::new(TestProcessor::default()),
+    }
+}
+
+/// A processor whose speed does not depend on what else runs on the machine.
+#[derive(Clone, Default)]
+pub struct TestProcessor {
+    /// Whether it takes five times as long as usual.
+    pub slow: Rc<Cell<bool>>,
+}
+
+impl Processor for TestProcessor {
+    fn measure(&self) -> Duration {
+        Duration::from_micros(if self.slow.get() { 150 } else { 30 })
     }
 }
 
