cluster: a measurement that is too short does not make all others slow

Cause: the usual duration was the shortest one, so one error of the clock decides. Change: zero is left out, and the usual duration is the 0.2 quantile of a window, or of the one before while the window has few.

Test: measurements_that_are_too_short_do_not_make_the_others_slow fails on the code before.

--- a/components/cluster/src/speed.rs
+++ b/components/cluster/src/speed.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use libs::hdrhistogram::Histogram;
 use libs::sha2::{Digest, Sha256};
 
 /// Size of the block that is hashed: some ten microseconds on an idle processor.
@@ -18,7 +19,15 @@
 /// Slow measurements in a row that show a slow machine.
 const SLOW_IN_A_ROW: u32 = 2;
 /// Measurements after which the usual duration follows a lasting change.
-const WINDOW: u32 = 300;
+const WINDOW: u64 = 300;
+/// Measurements below which a window tells less than the one before.
+const MIN_MEASUREMENTS: u64 = 10;
+/// Quantile that is the usual duration: short, but not the shortest, which may be an error of the
+/// clock.
+const USUAL_QUANTILE: f64 = 0.2;
+/// Longest duration that is told apart, and its significant digits.
+const MAX_MEASURED_US: u64 = 10_000_000;
+const SIGNIFICANT_DIGITS: u8 = 2;
 
 /// Measures how fast the processor is at the moment.
 pub trait Processor {
@@ -43,36 +52,45 @@
 }
 
 /// Judges measurements by the usual duration.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SpeedMonitor {
-    /// Shortest duration in this window and in the one before.
-    shortest: Option<Duration>,
-    former_shortest: Option<Duration>,
-    in_window: u32,
+    /// Durations in microseconds, of this window and of the one before.
+    window: Histogram<u64>,
+    former: Histogram<u64>,
     slow_in_a_row: u32,
 }
 
+impl Default for SpeedMonitor {
+    fn default() -> Self {
+        Self { window: new_histogram(), former: new_histogram(), slow_in_a_row: 0 }
+    }
+}
+
 impl SpeedMonitor {
     /// Records a measurement. Returns whether the machine is slow.
     pub fn record(&mut self, took: Duration) -> bool {
-        let is_slow = self.shortest().is_some_and(|usual| took >= usual * SLOW_FACTOR);
+        if took.is_zero() {
+            // The clock did not advance, which says nothing about the machine.
+            return self.is_slow();
+        }
+        let usual = self.usual();
+        let is_slow = !usual.is_zero() && took >= usual * SLOW_FACTOR;
         self.slow_in_a_row = if is_slow { self.slow_in_a_row + 1 } else { 0 };
-        self.shortest = Some(self.shortest.map_or(took, |shortest| shortest.min(took)));
-        self.in_window += 1;
-        if self.in_window >= WINDOW {
-            self.in_window = 0;
-            self.former_shortest = self.shortest.take();
+        self.window.saturating_record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+        if self.window.len() >= WINDOW {
+            self.former = std::mem::replace(&mut self.window, new_histogram());
         }
         self.is_slow()
     }
 
-    fn shortest(&self) -> Option<Duration> {
-        [self.shortest, self.former_shortest].into_iter().flatten().min()
-    }
-
     /// Usual duration; zero before the first measurement.
     pub fn usual(&self) -> Duration {
-        self.shortest().unwrap_or_default()
+        let quantiles = [&self.window, &self.former]
+            .into_iter()
+            .filter(|histogram| histogram.len() >= MIN_MEASUREMENTS)
+            .map(|histogram| histogram.value_at_quantile(USUAL_QUANTILE));
+        let few = || self.window.value_at_quantile(USUAL_QUANTILE);
+        Duration::from_micros(quantiles.min().unwrap_or_else(few))
     }
 
     /// Whether the last measurements show a slow machine.
@@ -80,3 +98,9 @@
         self.slow_in_a_row >= SLOW_IN_A_ROW
     }
 }
+
+fn new_histogram() -> Histogram<u64> {
+    // The library accepts these constant bounds.
+    Histogram::new_with_bounds(1, MAX_MEASURED_US, SIGNIFICANT_DIGITS)
+        .unwrap_or_else(|_| unreachable!())
+}
--- a/components/cluster/tests/lag.rs
+++ b/components/cluster/tests/lag.rs
@@ -62,3 +62,12 @@
     assert!(!monitor.is_slow());
     assert_eq!(measurements_until_slow(&mut monitor, &[500; 3]), Some(2));
 }
+
+/// On the bench a measurement was zero once after a restart, and all later ones seemed slow.
+#[test]
+fn measurements_that_are_too_short_do_not_make_the_others_slow() {
+    let mut monitor = SpeedMonitor::default();
+    assert_eq!(measurements_until_slow(&mut monitor, &[0, 30, 32, 0, 31, 30]), None);
+    let odd = [30; 20].into_iter().chain([1]).chain([35; 40]).collect::<Vec<u64>>();
+    assert_eq!(measurements_until_slow(&mut monitor, &odd), None);
+}
