cluster: a process whose last measurement was slow leaves the election to others

Cause: others than the leader measure twice a second, and two slow measurements were needed to leave an election to others. Change: a process measures when it stands for election, and one slow measurement is enough for that; it costs a second at most.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -75,9 +75,14 @@
         leaderless_ms < NO_RULES_DELAY_MS && self.rules.borrow().rules.is_none()
     }
 
-    /// Whether the machine is slower than usual, and the time reserved for others has not passed.
+    /// Whether the machine seems to be slower than usual now, and the time reserved for others has
+    /// not passed. A machine that has just become slow may not be known to be slow yet.
     fn defers_while_slow(&self, leaderless_ms: Millis) -> bool {
-        leaderless_ms < SLOW_MACHINE_DELAY_MS && self.is_slow.get()
+        if leaderless_ms >= SLOW_MACHINE_DELAY_MS {
+            return false;
+        }
+        self.measure_speed();
+        self.speed.borrow().seems_slow()
     }
 
     /// Time since this process first saw that there is no leader.
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -348,7 +348,7 @@
         let Some(load) = taken else { return };
         let waiting = leader.cell.borrow().waiting_steps();
         event!("leader.load", "epoch" => leader.epoch, "interval_ms" => load.interval_ms.0,
-            "probe_us" => self.probe.get().as_micros() as u64,
+            "probe_us" => self.speed.borrow().last().as_micros() as u64,
             "rounds" => load.rounds, "rounds_ms" => load.rounds_ms.0,
             "in_time" => waiting.in_time, "late" => waiting.late,
             "deferrable" => waiting.deferrable, "over_share" => waiting.over_share,
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 
 use cell::CellSettings;
 use clock::CancellationToken;
@@ -119,9 +118,7 @@
     pub(crate) store_failures: StdCell<u32>,
     pub(crate) pending_cache: RefCell<BTreeMap<types::QueueId, (u64, Millis)>>,
     pub(crate) stopping: CancellationToken,
-    /// The last measurement of the machine's speed, and whether the machine is slower than usual.
-    pub(crate) probe: StdCell<Duration>,
-    pub(crate) is_slow: StdCell<bool>,
+    pub(crate) speed: RefCell<SpeedMonitor>,
     /// Does not stand for election before this time.
     pub(crate) cooldown_until_ms: StdCell<Millis>,
     /// Since when the store has had no leader, as seen by this process.
@@ -148,8 +145,7 @@
             store_failures: StdCell::default(),
             pending_cache: RefCell::default(),
             stopping: CancellationToken::new(),
-            probe: StdCell::default(),
-            is_slow: StdCell::default(),
+            speed: RefCell::default(),
             cooldown_until_ms: StdCell::default(),
             leaderless_since_ms: StdCell::default(),
         })
@@ -236,7 +232,7 @@
             peers: self.peers_to_report(known_peers),
             known_peers: self.peers.borrow().len(),
             cooling_down: self.cooling_down(),
-            is_slow: self.is_slow.get(),
+            is_slow: self.speed.borrow().is_slow(),
         }
     }
 
@@ -377,9 +373,8 @@
     async fn monitor_lag(self: Rc<Self>) {
         let mut last = clock::now();
         let mut lag = LagDetector::default();
-        let mut speed = SpeedMonitor::default();
         let mut measured_ms = last;
-        self.measure_speed(&mut speed);
+        self.measure_speed();
         loop {
             tokio::time::sleep(TICK_MS.to_duration()).await;
             self.report_rules_state();
@@ -392,14 +387,14 @@
             last = now;
             if self.is_leader() || now.since(measured_ms) >= SPEED_PERIOD_MS {
                 measured_ms = now;
-                self.measure_speed(&mut speed);
+                self.measure_speed();
             }
             if !self.is_leader() {
                 lag.reset();
                 continue;
             }
             let is_late = lag.record_tick(late_by_ms);
-            let why = if self.is_slow.get() && self.may_leave_slow_machine() {
+            let why = if self.speed.borrow().is_slow() && self.may_leave_slow_machine() {
                 "the machine is slower than usual"
             } else if is_late && self.may_hand_over() {
                 "short of processor time"
@@ -407,18 +402,18 @@
                 continue;
             };
             event!("leader.too_slow", "late_by_ms" => late_by_ms.0, "why" => why,
-                "probe_us" => self.probe.get().as_micros() as u64);
+                "probe_us" => self.speed.borrow().last().as_micros() as u64);
             self.cooldown_until_ms.set(now + LEADER_COOLDOWN_MS);
             self.step_down(why).await;
         }
     }
 
-    fn measure_speed(&self, speed: &mut SpeedMonitor) {
+    pub(crate) fn measure_speed(&self) {
         let took = self.ports.processor.measure();
-        let is_slow = speed.record(took);
-        self.probe.set(took);
-        if self.is_slow.replace(is_slow) != is_slow {
-            event!("process.speed", "slow" => is_slow, "probe_us" => took.as_micros() as u64,
+        let mut speed = self.speed.borrow_mut();
+        let was_slow = speed.is_slow();
+        if speed.record(took) != was_slow {
+            event!("process.speed", "slow" => !was_slow, "probe_us" => took.as_micros() as u64,
                 "usual_us" => speed.usual().as_micros() as u64, "leads" => self.is_leader());
         }
     }
--- a/components/cluster/src/speed.rs
+++ b/components/cluster/src/speed.rs
@@ -58,11 +58,17 @@
     window: Histogram<u64>,
     former: Histogram<u64>,
     slow_in_a_row: u32,
+    last: Duration,
 }
 
 impl Default for SpeedMonitor {
     fn default() -> Self {
-        Self { window: new_histogram(), former: new_histogram(), slow_in_a_row: 0 }
+        Self {
+            window: new_histogram(),
+            former: new_histogram(),
+            slow_in_a_row: 0,
+            last: Duration::ZERO,
+        }
     }
 }
 
@@ -73,6 +79,7 @@
             // The clock did not advance, which says nothing about the machine.
             return self.is_slow();
         }
+        self.last = took;
         let usual = self.usual();
         let is_slow = !usual.is_zero() && took >= usual * SLOW_FACTOR;
         self.slow_in_a_row = if is_slow { self.slow_in_a_row + 1 } else { 0 };
@@ -93,6 +100,16 @@
         Duration::from_micros(quantiles.min().unwrap_or_else(few))
     }
 
+    /// The last measurement.
+    pub fn last(&self) -> Duration {
+        self.last
+    }
+
+    /// Whether the last measurement was slow, which a single interruption can cause.
+    pub fn seems_slow(&self) -> bool {
+        self.slow_in_a_row > 0
+    }
+
     /// Whether the last measurements show a slow machine.
     pub fn is_slow(&self) -> bool {
         self.slow_in_a_row >= SLOW_IN_A_ROW
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -419,10 +419,13 @@
 pub struct TestProcessor {
     /// Whether it takes five times as long as usual.
     pub slow: Rc<Cell<bool>>,
+    /// Number of measurements.
+    pub measurements: Rc<Cell<u32>>,
 }
 
 impl Processor for TestProcessor {
     fn measure(&self) -> Duration {
+        self.measurements.set(self.measurements.get() + 1);
         Duration::from_micros(if self.slow.get() { 150 } else { 30 })
     }
 }
