--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -6,7 +6,7 @@
     Action, ActiveRun, AdvicePolicy, Cell, CellSettings, EndedRun, Ending, FinalState, JobRecord,
     Policy, PollAnswer, Refusal, RetryBudget, StartAnswer, StartOrder, StepSpec, WorkerReport,
 };
-use simulation::{Faults, Simulation, Worker, job, policy, task};
+use simulation::{Faults, Simulation, Worker, job, policy, report, task};
 use types::{Millis, Resources};
 
 const NEVER: Millis = Millis(u64::MAX);
@@ -174,20 +174,6 @@
     assert!(late.is_empty(), "{} of 40 jobs miss their objective: {late:?}", late.len());
 }
 
-fn report(name: &str) -> WorkerReport {
-    WorkerReport {
-        id: name.parse().expect("worker id"),
-        incarnation_unix_ms: 5,
-        address: "127.0.0.1:1".parse().expect("address"),
-        service: "service".into(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: Resources { mem_mb: 64_000, ..cores(16) },
-        draining: false,
-        leaves_in_ms: None,
-    }
-}
-
 fn empty_cell(epoch: u64) -> Cell {
     let settings = CellSettings {
         lease_ms: Millis(4_500),
--- a/components/cell/tests/simulation/load.rs
+++ b/components/cell/tests/simulation/load.rs
@@ -1,6 +1,9 @@
 //! Jobs, queues and workers for the simulation.
 
-use cell::{AdvicePolicy, JobRecord, JobSpec, Policy, QueuePolicy, StepSpec, TaskKey, TeamPolicy};
+use cell::{
+    AdvicePolicy, JobRecord, JobSpec, Policy, QueuePolicy, StepSpec, TaskKey, TeamPolicy,
+    WorkerReport,
+};
 use libs::rand::rngs::StdRng;
 use libs::rand::{Rng, SeedableRng};
 use types::{Millis, Resources};
@@ -58,6 +61,21 @@
     policy
 }
 
+/// Entry of a worker of 16 cores that has just started.
+pub fn report(name: &str) -> WorkerReport {
+    WorkerReport {
+        id: name.parse().expect("worker id"),
+        incarnation_unix_ms: 5,
+        address: "127.0.0.1:1".parse().expect("address"),
+        service: "service".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, accels: 0 },
+        draining: false,
+        leaves_in_ms: None,
+    }
+}
+
 /// Record of a job.
 pub fn job(id: &str, queue_name: &str, team: &str, steps: Vec<StepSpec>) -> JobRecord {
     JobRecord {
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -946,4 +946,6 @@
 }
 
 #[allow(unused_imports, reason = "each test file uses a part of the simulation")]
-pub use load::{DEADLY, DEADLY_ALL, DEADLY_LATE, generate_jobs, generate_workers, job, policy};
+pub use load::{
+    DEADLY, DEADLY_ALL, DEADLY_LATE, generate_jobs, generate_workers, job, policy, report,
+};
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -6,26 +6,12 @@
     Action, ActiveRun, Cell, CellSettings, JobRecord, PollAnswer, RosterRow, StartOrder, StepSpec,
     TaskKey, WorkerReport,
 };
-use simulation::{job, policy};
+use simulation::{job, policy, report};
 use types::{Millis, Resources, WorkerId};
 
 /// Time of the change of leader.
 const ELECTED_MS: Millis = Millis(3_500);
 
-fn report(name: &str) -> WorkerReport {
-    WorkerReport {
-        id: name.parse().expect("worker id"),
-        incarnation_unix_ms: 5,
-        address: "127.0.0.1:1".parse().expect("address"),
-        service: "service".into(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, accels: 0 },
-        draining: false,
-        leaves_in_ms: None,
-    }
-}
-
 fn cell(epoch: u64) -> Cell {
     let settings = CellSettings {
         lease_ms: Millis(4_500),
--- a/components/cluster/tests/polling.rs
+++ b/components/cluster/tests/polling.rs
@@ -14,24 +14,20 @@
 /// lost, no inherited task may start before the last worker has answered its first poll.
 #[test]
 fn lost_answer_does_not_delay_a_new_leader() {
-    let environment = Rc::new(Environment::default());
-    environment.add_worker("only");
-    environment.unanswered_polls.set(1);
-    run(async {
-        let node = node("one", &environment);
-        let sender = node.clone();
-        libs::tokio::task::spawn_local(async move { sender.accept(job(1)).await });
-        let ended = || environment.count_writes("progress/") > 0;
-        assert!(run_node_until(node, ended).await, "the job did not end");
-    });
+    run_job_with_lost_answers(1);
 }
 
 /// Of 540 workers some lost two answers in a row, and one of them held up all inherited tasks for 0.9 s.
 #[test]
 fn two_lost_answers_do_not_delay_a_new_leader() {
+    run_job_with_lost_answers(2);
+}
+
+/// Runs a job on a worker whose first answers are lost.
+fn run_job_with_lost_answers(lost: u32) {
     let environment = Rc::new(Environment::default());
     environment.add_worker("only");
-    environment.unanswered_polls.set(2);
+    environment.unanswered_polls.set(lost);
     run(async {
         let node = node("one", &environment);
         let sender = node.clone();
