cluster: a leader on a slow machine takes less time to hand over

Change: 120 ms on a slow machine. The last roster, one call, is stored beside them; the next leader reads the changes from the workers.

No test of its own: slow_machine.rs covers the hand-over, and no test asserts times.

--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -25,6 +25,9 @@
 /// Longest time to store pending changes at the end of a term. The next leader reads the remaining
 /// ones from the workers, which keep ended runs until they are acknowledged.
 const HAND_OVER_TIMEOUT_MS: Millis = Millis(300);
+/// The same on a slow machine, where this takes longer than the next leader needs to read the changes
+/// from the workers. The last roster is stored first and takes one call.
+const SLOW_HAND_OVER_TIMEOUT_MS: Millis = Millis(120);
 /// Delay after a failed attempt to load the stored state.
 const LOAD_RETRY_DELAY_MS: Millis = Millis(100);
 /// Time after which a leader that cannot load the stored state yields. A state of 1 MB takes 1.1 s on
@@ -151,7 +154,9 @@
             // Stops the polling loops, so that no further changes arise.
             leader.token.cancel();
             let stored = self.store_remaining(&leader);
-            if tokio::time::timeout(HAND_OVER_TIMEOUT_MS.to_duration(), stored).await.is_err() {
+            let is_slow = self.speed.borrow().is_slow();
+            let timeout_ms = if is_slow { SLOW_HAND_OVER_TIMEOUT_MS } else { HAND_OVER_TIMEOUT_MS };
+            if tokio::time::timeout(timeout_ms.to_duration(), stored).await.is_err() {
                 event!("leader.changes_unstored", "epoch" => leader.epoch);
             }
         }
