cell: what a stored roster names stays in force when there is too much to name

Test: a_worker_with_too_many_tasks_to_name_gets_no_more_before_a_roster_without_names, fails on the code before.

--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -150,8 +150,11 @@
     let is_empty = worker.runs.is_empty() && worker.unstored_ends.is_empty();
     if is_empty || !current.clone().all(is_named) {
         let current: BTreeSet<&TaskKey> = current.collect();
-        let fits = current.len() <= MAX_NAMED_TASKS;
-        worker.named_tasks = fits.then(|| current.into_iter().cloned().collect());
+        if current.len() > MAX_NAMED_TASKS {
+            // What a stored roster names stays in force until a newer one is stored.
+            return None;
+        }
+        worker.named_tasks = Some(current.into_iter().cloned().collect());
     }
     worker.named_tasks.clone()
 }
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -255,3 +255,40 @@
     });
     assert_eq!(stops.collect::<Vec<_>>(), [(answering, task, again[0].attempt)]);
 }
+
+/// A worker with more tasks than an entry names keeps those that a stored roster names in force.
+#[test]
+fn a_worker_with_too_many_tasks_to_name_gets_no_more_before_a_roster_without_names() {
+    let mut first = first_term();
+    let worker = first.runs[0].2.clone();
+    let name = worker.as_str().to_owned();
+    first.cell.worker_listed(WorkerReport { draining: true, ..report(&name) }, Millis(30));
+    let roster = first.cell.roster(Millis(40));
+    first.cell.roster_stored(&roster);
+    let strays = (0..300).map(|index| ActiveRun {
+        task: simulation::task("00000000000000d1", 0, index),
+        attempt: 1,
+        checkpoint: Default::default(),
+        percent: 10,
+        gauge: 0,
+    });
+    first.cell.poll_answered(&worker, Millis(50), &answer(strays.collect()), Millis(55));
+    let roster = first.cell.roster(Millis(60));
+    let row = roster.iter().find(|row| row.worker == worker).expect("a row");
+    assert_eq!(row.tasks, None);
+    let ends = (0..300u32).map(|index| cell::EndedRun {
+        sequence: u64::from(index) + 1,
+        task: simulation::task("00000000000000d1", 0, index),
+        attempt: 1,
+        ending: cell::Ending::Stopped,
+        checkpoint: Default::default(),
+    });
+    let ended = PollAnswer { ended: ends.collect(), ..answer(Vec::new()) };
+    first.cell.poll_answered(&worker, Millis(70), &ended, Millis(75));
+    first.cell.worker_listed(report(&name), Millis(90));
+    for number in 0..2 {
+        let id = format!("{:016x}", 0xa3 + number);
+        first.cell.add_job(one_task_job(&id, "large", 4), Millis(95));
+    }
+    assert_eq!(starts(&mut first.cell, Millis(100)).len(), 1, "only the other worker may start");
+}
