--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -111,8 +111,6 @@
     pub fn batch_stored(&mut self, batch: &Batch) {
         self.batch_in_flight = false;
         self.dirty.in_flight.clear();
-        // Tasks that were lost start once that is stored.
-        self.needs_scheduling |= batch.records.iter().any(|record| !record.losses.is_empty());
         for record in &batch.records {
             if let Some(job) = self.jobs.get_mut(&record.id)
                 && record.ended.is_some()
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -8,8 +8,8 @@
 
 use crate::advice::StepAdvice;
 use crate::model::{
-    AnnouncedRun, Announcement, FinalState, JobRecord, JobStatus, LostRun, Progress, StepProgress,
-    StepSpec, TaskKey, TaskLosses,
+    FinalState, JobRecord, JobStatus, LostRun, Progress, StepProgress, StepSpec, TaskKey,
+    TaskLosses,
 };
 use crate::ranking::Outlook;
 
@@ -35,8 +35,6 @@
     pub(crate) failed: Vec<u32>,
     /// Its last runs, if they were lost with their workers.
     pub(crate) losses: Vec<LostRun>,
-    /// Its run that is about to start, or has just started, if it was lost before.
-    pub(crate) announced: Option<Announcement>,
     pub(crate) checkpoint: CompactString,
     /// Times that it was preempted by more urgent work.
     pub(crate) preemptions: u32,
@@ -263,8 +261,7 @@
             }));
         }
         let losses = if self.ended.is_none() { self.losses() } else { Vec::new() };
-        let announced = if self.ended.is_none() { self.announced() } else { Vec::new() };
-        Progress { id: self.record.id.clone(), ended: self.ended, occurrences, losses, announced }
+        Progress { id: self.record.id.clone(), ended: self.ended, occurrences, losses }
     }
 
     /// Losses of the tasks that are not done.
@@ -286,21 +283,6 @@
         rows
     }
 
-    /// Announced runs of the tasks that are not done.
-    fn announced(&self) -> Vec<AnnouncedRun> {
-        let mut rows = Vec::new();
-        for (number, occurrence) in &self.open_occurrences {
-            for (step, state) in (0u16..).zip(&occurrence.steps).filter(|(_, one)| one.has_losses) {
-                let tasks = (0u32..).zip(&state.tasks).filter(|(_, one)| one.phase != Phase::Done);
-                rows.extend(tasks.filter_map(|(index, task)| {
-                    let run = task.announced.clone()?;
-                    Some(AnnouncedRun { occurrence: *number, step, index, run })
-                }));
-            }
-        }
-        rows
-    }
-
     /// Restores stored progress.
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.ended = progress.ended;
@@ -330,13 +312,6 @@
             }
             self.started = true;
         }
-        for announced in &progress.announced {
-            let Some(step) = self.step_mut(announced.occurrence, announced.step) else { continue };
-            step.has_losses = true;
-            if let Some(task) = step.tasks.get_mut(announced.index as usize) {
-                task.announced = Some(announced.run.clone());
-            }
-        }
         if self.ended.is_some() {
             self.open_occurrences.clear();
         }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -7,7 +7,6 @@
 mod action;
 mod advice;
 mod aging;
-mod announce;
 mod ask;
 mod batch;
 mod budget;
@@ -43,9 +42,9 @@
 pub use cell::{Cell, CellSettings};
 pub use losses::LossCounts;
 pub use model::{
-    AdvicePolicy, AnnouncedRun, Announcement, FinalState, JobRecord, JobSpec, JobStatus, LossKind,
-    LostRun, MAX_OCCURRENCES, MAX_TASKS, Policy, Progress, QueuePolicy, Recurrence, StepKey,
-    StepProgress, StepSpec, TaskKey, TaskLosses, TeamPolicy,
+    AdvicePolicy, FinalState, JobRecord, JobSpec, JobStatus, LossKind, LostRun, MAX_OCCURRENCES,
+    MAX_TASKS, Policy, Progress, QueuePolicy, Recurrence, StepKey, StepProgress, StepSpec, TaskKey,
+    TaskLosses, TeamPolicy,
 };
 pub use polling::{ActiveRun, EndedRun, Ending, PollAnswer};
 pub use roster::RosterRow;
--- a/components/cell/src/losses.rs
+++ b/components/cell/src/losses.rs
@@ -59,9 +59,7 @@
 impl Task {
     /// Whether it may have crashed its worker, so that it is tried alone.
     pub(crate) fn is_suspect(&self) -> bool {
-        let is_recent = |loss: &LostRun| {
-            matches!(loss.kind, LossKind::Early | LossKind::Doubtful | LossKind::Unnoticed)
-        };
+        let is_recent = |loss: &LostRun| matches!(loss.kind, LossKind::Early | LossKind::Doubtful);
         self.losses.iter().any(is_recent) || self.losses.len() >= LONG_TRIAL_LOSSES
     }
 
@@ -70,16 +68,14 @@
     }
 
     fn crashes_workers(&self) -> bool {
-        let is_likely =
-            |loss: &LostRun| !matches!(loss.kind, LossKind::Unrelated | LossKind::Unnoticed);
+        let is_likely = |loss: &LostRun| loss.kind != LossKind::Unrelated;
         let is_clear = |loss: &LostRun| matches!(loss.kind, LossKind::Early | LossKind::Late);
         let likely = self.losses.iter().filter(|loss| is_likely(loss)).count();
-        let unnoticed = self.losses.iter().filter(|loss| loss.kind == LossKind::Unnoticed).count();
         let clear = self.losses.iter().filter(|loss| is_clear(loss)).count();
         let last_clear = self.losses.iter().rev().take_while(|loss| is_clear(loss)).count();
         self.early_losses() >= MAX_EARLY_LOSSES
-            || likely + unnoticed / 2 >= MIN_LOSSES
-            || (self.losses.len() - unnoticed >= MIN_LOSSES && (clear >= 3 || last_clear >= 2))
+            || likely >= MIN_LOSSES
+            || (self.losses.len() >= MIN_LOSSES && (clear >= 3 || last_clear >= 2))
     }
 }
 
@@ -159,7 +155,6 @@
             let former = known.map(|index| task.losses.remove(index));
             let loss = former.filter(|former| former.kind == LossKind::Early).unwrap_or(loss);
             task.losses.push(loss);
-            task.announced.take_if(|run| run.attempt == loss.attempt);
             let losses = task.losses.len();
             self.dirty.mark(&key.step.job);
             if let Some(run) = self.workers.get_mut(id).and_then(|one| one.runs.get_mut(&key)) {
@@ -177,7 +172,7 @@
 
     /// Withdraws the loss of a run of which its worker reports something, or which has not started.
     pub(crate) fn withdraw_loss(&mut self, key: &TaskKey, attempt: u32) {
-        self.withdraw_losses(key, |withdrawn| withdrawn == attempt);
+        self.withdraw_losses(key, |loss| loss.attempt == attempt);
     }
 
     /// Withdraws the losses of the runs of a worker that was silent and has not restarted.
@@ -199,18 +194,14 @@
         self.withdraw_losses(key, |_| true);
     }
 
-    /// Withdraws what is recorded of the runs with these attempt numbers.
-    fn withdraw_losses(&mut self, key: &TaskKey, is_withdrawn: impl Fn(u32) -> bool) {
+    fn withdraw_losses(&mut self, key: &TaskKey, is_withdrawn: impl Fn(&LostRun) -> bool) {
         let Some(step) = self.step_mut(&key.step).filter(|step| step.has_losses) else { return };
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
         let before = task.losses.len();
-        task.losses.retain(|loss| !is_withdrawn(loss.attempt));
+        task.losses.retain(|loss| !is_withdrawn(loss));
         let losses = task.losses.len();
-        let was_announced = task.announced.take_if(|run| is_withdrawn(run.attempt)).is_some();
         if losses < before {
             event!("task.loss_withdrawn", "task" => key.to_string(), "losses" => losses);
-        }
-        if losses < before || was_announced {
             self.dirty.mark(&key.step.job);
         }
     }
--- a/components/cell/src/model.rs
+++ b/components/cell/src/model.rs
@@ -5,7 +5,7 @@
 
 use libs::compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use types::{JobId, Millis, QueueId, RackId, Resources, TeamId, WorkerId};
+use types::{JobId, Millis, QueueId, RackId, Resources, TeamId};
 
 /// One step of a job: tasks of one kind.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
@@ -223,8 +223,6 @@
     Late,
     /// Its worker lived for some time after the start, and something else is likely to have ended it.
     Unrelated,
-    /// It was announced, and its worker has restarted or left since. It may never have started.
-    Unnoticed,
 }
 
 /// Runs of one task that were lost one after the other.
@@ -249,36 +247,9 @@
     pub ended: Option<FinalState>,
     /// Progress of the steps by occurrence; no steps for an occurrence that is done.
     pub occurrences: Vec<(u32, Vec<StepProgress>)>,
-    /// Tasks whose last runs were lost with their workers. Records of earlier versions end before it.
+    /// Tasks whose last runs were lost with their workers. The last field, since records of earlier
+    /// versions end before it.
     pub losses: Vec<TaskLosses>,
-    /// Runs of such tasks that were about to start, or had just started. The last field, since records
-    /// of earlier versions end before it.
-    pub announced: Vec<AnnouncedRun>,
-}
-
-/// A run of a task that was lost before. If its leader dies before it notices that the run crashes its
-/// worker, the next one learns it from this.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnnouncedRun {
-    /// Number of the occurrence.
-    pub occurrence: u32,
-    /// Index of the step in the job.
-    pub step: u16,
-    /// Index of the task in the step.
-    pub index: u32,
-    /// The run.
-    pub run: Announcement,
-}
-
-/// Where a run is about to start.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Attempt number of the run.
-    pub attempt: u32,
-    /// Worker that is to run it.
-    pub worker: WorkerId,
-    /// Start of the worker's incarnation in Unix milliseconds.
-    pub incarnation_unix_ms: u64,
 }
 
 /// A step of one occurrence of a job.
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -104,7 +104,6 @@
             let state = step.tasks.get(*index as usize);
             let was_lost = state.is_some_and(|task| !task.losses.is_empty());
             let on_trial = !spec.gang && state.is_some_and(Task::is_suspect);
-            let announced = state.and_then(|task| task.announced.as_ref());
             let task = TaskKey { step: key.clone(), index: *index };
             let best = free
                 .iter()
@@ -123,13 +122,10 @@
                     } else {
                         0.0
                     };
-                    let is_announced = announced.is_some_and(|run| run.worker == **id);
-                    Some((is_announced, score - penalty, *id))
+                    Some((score - penalty, *id))
                 })
-                .max_by(|(left_announced, left, _), (right_announced, right, _)| {
-                    left_announced.cmp(right_announced).then(left.total_cmp(right))
-                });
-            let Some((.., id)) = best else {
+                .max_by(|(left, _), (right, _)| left.total_cmp(right));
+            let Some((_, id)) = best else {
                 if last_attempt || on_trial {
                     continue;
                 }
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -105,7 +105,6 @@
 
     fn place_step(&mut self, candidate: &Candidate, has_turn: bool, now: Millis) {
         let key = &candidate.key;
-        let unknown = self.judge_announced_runs(key, now);
         let Some(job) = self.jobs.get(&key.job) else { return };
         let record = job.record.clone();
         let Some(spec) = record.spec.steps.get(usize::from(key.step)) else { return };
@@ -124,7 +123,7 @@
             .map(|(index, _)| index)
             .collect();
         let waiting = tasks.len();
-        tasks.retain(|index| !self.held_tasks.holds_task(key, *index) && !unknown.contains(index));
+        tasks.retain(|index| !self.held_tasks.holds_task(key, *index));
         if spec.gang && tasks.len() < waiting {
             return;
         }
@@ -151,10 +150,7 @@
         if !self.rooms.get_mut(service).may_fit(&charge) {
             return 0;
         }
-        let mut placed = self.choose_workers(waiting);
-        if !waiting.spec.gang {
-            self.announce_runs(waiting.key, &mut placed);
-        }
+        let placed = self.choose_workers(waiting);
         let started = placed.len();
         if started == 0 || (waiting.spec.gang && started < waiting.tasks.len()) {
             return 0;
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -403,14 +403,11 @@
         .ok()
 }
 
-/// Lists at the end of stored progress that records of earlier versions do not have.
-const ADDED_PROGRESS_LISTS: usize = 2;
-
-/// Decodes the stored progress of a job. Records of earlier versions end before the lists that were
-/// added: the bytes added here are their lengths then, and are ignored after a complete record.
+/// Decodes the stored progress of a job. Records of earlier versions end before the list of losses:
+/// the byte added here is its length then, and is ignored after a complete record.
 pub(crate) fn read_progress(item: &Item) -> Option<Progress> {
     let mut item = item.clone();
-    item.value.extend([0; ADDED_PROGRESS_LISTS]);
+    item.value.push(0);
     read(&item)
 }
 
