--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -25,8 +25,8 @@
 /// Longest time to store pending changes at the end of a term. The next leader reads the remaining
 /// ones from the workers, which keep ended runs until they are acknowledged.
 const HAND_OVER_TIMEOUT_MS: Millis = Millis(300);
-/// The same on a slow machine, where this takes longer than the next leader needs to read the changes
-/// from the workers. The last roster is stored first and takes one call.
+/// The same on a slow machine, where storing takes longer than the next leader needs to read the
+/// changes from the workers. The last roster takes one call.
 const SLOW_HAND_OVER_TIMEOUT_MS: Millis = Millis(120);
 /// Delay after a failed attempt to load the stored state.
 const LOAD_RETRY_DELAY_MS: Millis = Millis(100);
--- a/components/cluster/src/speed.rs
+++ b/components/cluster/src/speed.rs
@@ -1,9 +1,9 @@
 //! Tells a machine that has become slow from a process that has much to do.
 //!
 //! A busy process runs its timers late, and so does one on a machine that gives it a fraction of the
-//! usual processor time. Only on the latter a fixed piece of work takes several times as long. After
-//! that, a leader on a machine slowed to a fifth is replaced within a second, before its backlog
-//! builds up.
+//! usual processor time. Only on the latter a fixed piece of work takes several times as long. By that
+//! sign a leader on a machine slowed to a fifth is replaced within a second, before a backlog builds
+//! up.
 
 use std::time::{Duration, Instant};
 
