--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -152,6 +152,7 @@
             self.jobs.remove(id);
             self.open_jobs.remove(id);
         }
+        self.early_cancels.retain(|_, known_ms| now.since(*known_ms) <= keep);
         expired
     }
 }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -60,6 +60,8 @@
     /// A configuration was set. Until then the limits of teams are not known.
     pub(crate) policy_known: bool,
     pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Jobs whose cancellation became known before they did, and when.
+    pub(crate) early_cancels: BTreeMap<JobId, Millis>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) used_by_team: BTreeMap<TeamId, Resources>,
     pub(crate) callers: Callers,
@@ -128,6 +130,7 @@
             policy: Rc::default(),
             policy_known: false,
             jobs: BTreeMap::new(),
+            early_cancels: BTreeMap::new(),
             workers: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
             callers: Callers::default(),
@@ -276,6 +279,9 @@
         self.charge_stray_runs(&id);
         self.forecast_job(&id, now);
         self.needs_scheduling = true;
+        if self.early_cancels.remove(&id).is_some() {
+            self.cancel_job(&id, now);
+        }
     }
 
     /// Counts a job against the share of its team. Returns the share and whether the job exceeds
@@ -286,9 +292,14 @@
         (weight, self.shares.count_job(team, weight, record.accepted_unix_ms))
     }
 
-    /// Ends a job whose cancellation was stored.
+    /// Ends a job whose cancellation was stored. A job that is not known yet ends once it is: the
+    /// store may list cancellations first, and notices of other processes may be lost.
     pub fn cancel_job(&mut self, id: &JobId, now: Millis) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get(id) else {
+            event!("job.cancelled_early", "job" => id.as_str());
+            self.early_cancels.entry(id.clone()).or_insert(now);
+            return;
+        };
         if job.ended.is_some() {
             return;
         }
--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -53,10 +53,10 @@
     }
 }
 
-/// Faults of the schedules in which leaders are replaced without noticing, while jobs are accepted whose
-/// notices go to either of them or are lost.
+/// Faults of the schedules in which leaders are replaced without noticing, while jobs are accepted and
+/// cancelled whose notices go to either of them or are lost.
 fn lost_notice_faults(seed: u64) -> Faults {
-    Faults { leader_deposed: 60, lose_notice: 400, cancel: 0, ..faults(seed) }
+    Faults { leader_deposed: 60, lose_notice: 400, cancel: 20, ..faults(seed) }
 }
 
 /// Faults of the schedules in which leaders change while workers are silent or leave.
@@ -133,6 +133,10 @@
     sim.run_until(END_MS + crashes_ms + evacuations_ms);
     sim.checks.finish();
     let mut violations = std::mem::take(&mut sim.checks.violations);
+    for id in sim.cancelled_jobs_that_run() {
+        violations
+            .push(format!("runs after its cancellation: {:#?}", sim.checks.describe_tasks(&id)));
+    }
     for id in sim.open_jobs() {
         let long_running = sim.is_long_running(&id);
         let running = sim.workers.values().any(|w| w.runs.keys().any(|key| key.step.job == id));
@@ -255,8 +259,9 @@
     play(|seed| check_with(seed, takeover_faults(seed), false));
 }
 
-/// Guards against two runs of a task: a leader whose lease had ended started a job that its successor did
-/// not know yet.
+/// Guards against two runs of a task, since a leader whose lease had ended started a job that its successor
+/// did not know yet, and against cancelled jobs that run on, since the leader learned of the cancellation
+/// first.
 #[test]
 fn invariants_hold_while_notices_of_jobs_are_lost_and_leaders_change() {
     play(|seed| {
--- a/components/cell/tests/simulation/checks.rs
+++ b/components/cell/tests/simulation/checks.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Records that a leader has ordered a start although it knew that the job was cancelled.
+    pub fn started_though_cancelled(&mut self, order: &StartOrder, now: Millis) {
+        let what = format!("{} on {}", order.task, order.worker);
+        self.record_violation("started by a leader that knew of the cancellation", &what, now);
+    }
+
     /// Records that a task crashes the worker that has started it.
     pub fn crashed_under(&mut self, key: &TaskKey, now: Millis) {
         self.log(key, format!("{now} crashes its worker"));
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -8,7 +8,7 @@
 mod worker;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
 use cell::{
@@ -193,13 +193,18 @@
     evacuations_read: usize,
     /// Number of changes of the intake that it has read.
     intake_read: usize,
+    /// Cancellations that it has learned.
+    cancels: BTreeSet<JobId>,
 }
 
 impl Term {
     fn apply_intake(&mut self, change: IntakeChange, now: Millis) {
         match change {
             IntakeChange::Accepted(record) => self.cell.add_job(*record, now),
-            IntakeChange::Cancelled(id) => self.cell.cancel_job(&id, now),
+            IntakeChange::Cancelled(id) => {
+                self.cell.cancel_job(&id, now);
+                self.cancels.insert(id);
+            }
         }
     }
 }
@@ -376,6 +381,15 @@
         self.now = end;
     }
 
+    /// Cancelled jobs with tasks that run.
+    pub fn cancelled_jobs_that_run(&self) -> Vec<JobId> {
+        let runs = |id: &JobId| {
+            let mut keys = self.workers.values().flat_map(|worker| worker.runs.keys());
+            keys.any(|key| key.step.job == *id)
+        };
+        self.stored_cancels.iter().filter(|id| runs(id)).cloned().collect()
+    }
+
     /// Jobs that have not ended.
     pub fn open_jobs(&self) -> Vec<JobId> {
         let Some(term) = self.terms.last() else { return Vec::new() };
@@ -606,6 +620,7 @@
             known_roster: Vec::new(),
             evacuations_read,
             intake_read: self.intake.len(),
+            cancels: self.stored_cancels.iter().cloned().collect(),
         });
         self.batch_in_progress = false;
     }
@@ -631,6 +646,10 @@
         let delay = self.delay_ms();
         match action {
             Action::Start(order) => {
+                let leader = self.terms.iter().find(|one| one.epoch == term);
+                if leader.is_some_and(|leader| leader.cancels.contains(&order.task.step.job)) {
+                    self.checks.started_though_cancelled(&order, self.now);
+                }
                 let incarnation = self.incarnation(&order.worker);
                 if self.chance(self.faults.lose_call) {
                     let answer = StartAnswer::Unanswered;
@@ -1039,12 +1058,25 @@
 
     fn cancel_one(&mut self) {
         let number = self.rng.random_range(0..self.stored_jobs.len());
-        let Some(id) = self.stored_jobs.keys().nth(number).cloned() else { return };
+        let mut id = self.stored_jobs.keys().nth(number).cloned();
+        // A leader that has not heard of a job may hear of its cancellation first.
+        if self.faults.lose_notice > 0 && number % 2 == 0 {
+            id = self.last_accepted();
+        }
+        let Some(id) = id else { return };
         self.stored_cancels.push(id.clone());
         self.checks.cancelled(&id, self.now);
         self.intake_changed(IntakeChange::Cancelled(id));
     }
 
+    /// The job that was accepted last.
+    fn last_accepted(&self) -> Option<JobId> {
+        self.intake.iter().rev().find_map(|change| match change {
+            IntakeChange::Accepted(record) => Some(record.id.clone()),
+            IntakeChange::Cancelled(_) => None,
+        })
+    }
+
     fn poll_arrives(
         &mut self,
         term: u64,
--- a/components/cell/tests/unknown_jobs.rs
+++ b/components/cell/tests/unknown_jobs.rs
@@ -3,8 +3,8 @@
 mod simulation;
 
 use cell::{
-    Action, ActiveRun, Cell, CellSettings, EndedRun, Ending, JobRecord, PollAnswer,
-    StartPermission, StepSpec, TaskKey,
+    Action, ActiveRun, Cell, CellSettings, EndedRun, Ending, FinalState, JobRecord, JobStatus,
+    PollAnswer, StartPermission, StepSpec, TaskKey,
 };
 use simulation::{job, policy, report, task};
 use types::{Millis, Resources, WorkerId};
@@ -77,6 +77,34 @@
     assert_eq!(starts(&mut cell, NOW + Millis(30)).len(), 1, "the lease is renewed");
 }
 
+/// Guards against a cancelled job that runs on: a list of the intake has cancellations first, and the
+/// notice of the job was lost with the former leader.
+#[test]
+fn a_job_that_becomes_known_after_its_cancellation_does_not_start() {
+    let mut cell = cell();
+    let mut lasting = record(JOB);
+    lasting.spec.steps[0].long_running = true;
+    for record in [lasting, record("00000000000000a2")] {
+        let id = record.id.clone();
+        cell.cancel_job(&id, NOW);
+        cell.add_job(record, NOW + Millis(1_000));
+        let cancelled = JobStatus::Ended(FinalState::Cancelled);
+        assert_eq!(cell.status(&id), Some(cancelled), "as callers see it");
+        assert!(starts(&mut cell, NOW + Millis(1_010)).is_empty());
+    }
+    assert_eq!(cell.dirty_jobs(), 2, "the ends are to be stored");
+}
+
+/// Guards against memory that is never freed: a cancellation is remembered no longer than its job would be.
+#[test]
+fn the_cancellation_of_a_job_that_stays_unknown_is_forgotten() {
+    let mut cell = cell();
+    cell.cancel_job(&JOB.parse().expect("job id"), NOW);
+    cell.take_expired(NOW + Millis(200_000));
+    cell.add_job(record(JOB), NOW + Millis(200_010));
+    assert_eq!(starts(&mut cell, NOW + Millis(200_020)).len(), 1);
+}
+
 /// Guards against two runs of a task: its job became known while a run of it was being stopped.
 #[test]
 fn a_task_waits_for_the_end_of_a_run_that_was_found_before_its_job_was_known() {
--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -33,9 +33,39 @@
     if changes >= BACKLOG_CHANGES { Millis(0) } else { WORKERS_PERIOD_MS }
 }
 
+/// A notice of a change of the intake.
+pub(crate) enum Notice {
+    /// A job is stored as accepted.
+    Accepted(Box<JobRecord>),
+    /// The cancellation of a job is stored.
+    Cancelled(JobId),
+}
+
 impl Node {
-    /// Passes a job that is stored as accepted to the cell, if this process leads.
-    pub(crate) fn on_job_accepted(&self, record: JobRecord) {
+    /// Passes a notice to the cell, if this process leads. While it loads the stored state, notices
+    /// wait: the change may be newer than what it has read.
+    pub(crate) fn on_notice(&self, notice: Notice) {
+        let Some(leader) = self.leadership.borrow().clone() else { return };
+        if !leader.loaded.get() {
+            leader.early_notices.borrow_mut().push(notice);
+            return;
+        }
+        match notice {
+            Notice::Accepted(record) => self.on_job_accepted(*record),
+            Notice::Cancelled(id) => self.on_job_cancelled(&id),
+        }
+    }
+
+    /// Passes on the notices that came while the stored state was loaded.
+    pub(crate) fn apply_early_notices(&self, leader: &Leader) {
+        let notices = leader.early_notices.take();
+        if !notices.is_empty() {
+            event!("leader.early_notices", "epoch" => leader.epoch(), "notices" => notices.len());
+        }
+        notices.into_iter().for_each(|notice| self.on_notice(notice));
+    }
+
+    fn on_job_accepted(&self, record: JobRecord) {
         if let Some(leader) = self.loaded_term() {
             let now = clock::now();
             let id = record.id.clone();
@@ -48,8 +78,7 @@
         }
     }
 
-    /// Passes a stored cancellation to the cell, if this process leads.
-    pub(crate) fn on_job_cancelled(&self, id: &JobId) {
+    fn on_job_cancelled(&self, id: &JobId) {
         if let Some(leader) = self.loaded_term() {
             leader.cell.borrow_mut().cancel_job(id, clock::now());
             leader.changed.notify_one();
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -13,6 +13,7 @@
 
 use crate::capacity::CapacityForecast;
 use crate::codec::decode;
+use crate::intake::Notice;
 use crate::keys;
 use crate::load::LoadMeter;
 use crate::node::{LEADER_COOLDOWN_MS, Node};
@@ -62,6 +63,8 @@
     pub(crate) loaded: StdCell<bool>,
     /// When it has been loaded.
     loaded_ms: StdCell<Millis>,
+    /// Notices that came before the stored state was loaded.
+    pub(crate) early_notices: RefCell<Vec<Notice>>,
     /// Revision after which the intake is watched.
     pub(crate) intake_after: StdCell<u64>,
     /// Revision after which the list of workers is watched.
@@ -111,6 +114,7 @@
             confirmed_ms: StdCell::new(confirmed_ms),
             loaded: StdCell::new(false),
             loaded_ms: StdCell::default(),
+            early_notices: RefCell::default(),
             intake_after: StdCell::new(0),
             workers_after: StdCell::new(0),
             evacuations_after: StdCell::new(0),
@@ -223,6 +227,7 @@
             "took_ms" => clock::now().since(began_ms).0);
         leader.loaded_ms.set(clock::now());
         leader.loaded.set(true);
+        self.apply_early_notices(leader);
         true
     }
 
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -11,6 +11,7 @@
 use web::{CallError, Request, ServerRequest, ServerResponse};
 
 use crate::codec::{decode, encode};
+use crate::intake::Notice;
 use crate::node::Node;
 use crate::ports::{Advice, RawRules};
 use crate::requests::{CancelOutcome, JobLookup, SubmitOutcome};
@@ -183,11 +184,11 @@
                 Answer::Heartbeat(self.heartbeat(heartbeat.known_peers))
             }
             Message::Submitted(record) => self.if_leader(|node| {
-                node.on_job_accepted(*record);
+                node.on_notice(Notice::Accepted(record));
                 Answer::Done
             }),
             Message::Cancelled(id) => self.if_leader(|node| {
-                node.on_job_cancelled(&id);
+                node.on_notice(Notice::Cancelled(id));
                 Answer::Done
             }),
             Message::Status(id) => match self.local_status(&id).await {
--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -7,6 +7,7 @@
 use web::CallError;
 
 use crate::codec::encode;
+use crate::intake::Notice;
 use crate::keys;
 use crate::leader::read_progress;
 use crate::node::Node;
@@ -170,8 +171,8 @@
     fn notify_leader(&self, message: Message) {
         if self.is_leader() {
             match message {
-                Message::Submitted(record) => self.on_job_accepted(*record),
-                Message::Cancelled(id) => self.on_job_cancelled(&id),
+                Message::Submitted(record) => self.on_notice(Notice::Accepted(record)),
+                Message::Cancelled(id) => self.on_notice(Notice::Cancelled(id)),
                 _ => {}
             }
             return;
--- /dev/null
+++ b/components/cluster/tests/intake.rs
@@ -0,0 +1,78 @@
+//! How a leader learns of jobs and cancellations that other processes have stored.
+
+mod support;
+
+use std::rc::Rc;
+
+use cluster::{CancelOutcome, Node, SubmitOutcome};
+use libs::tokio;
+use support::{Environment, job, node, run};
+use types::Millis;
+
+/// Some hundred times the duration of a start and an election.
+const TIMEOUT_MS: Millis = Millis(5_000);
+/// Longer than several scheduling rounds, and than the leader needs to start a job that it knows.
+const ROUNDS_MS: Millis = Millis(700);
+/// Longer than the store takes to answer a read, shorter than `SLOW_RANGE_MS`.
+const AFTER_ELECTION_MS: Millis = Millis(60);
+const SLOW_RANGE_MS: Millis = Millis(400);
+
+async fn within(condition: impl Fn() -> bool) -> bool {
+    let until = clock::now() + TIMEOUT_MS;
+    while !condition() {
+        if clock::now() > until {
+            return false;
+        }
+        tokio::time::sleep(Millis(5).to_duration()).await;
+    }
+    true
+}
+
+fn start(name: &str, environment: &Rc<Environment>) -> Rc<Node> {
+    let node = node(name, environment);
+    let token = clock::CancellationToken::new;
+    tokio::task::spawn_local(node.clone().run(token(), token()));
+    node
+}
+
+/// Guards against a cancelled job that runs on: the notices of the job and of its cancellation were lost,
+/// and after a loss of history the store lists cancellations before jobs.
+#[test]
+fn a_job_that_the_store_lists_after_its_cancellation_does_not_start() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        environment.watches_are_silent.set(true);
+        start("leader", &environment);
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        // No process of these tests takes messages, so that its notices do not reach the leader.
+        let other = start("other", &environment);
+        let record = job(1);
+        let id = record.id.clone();
+        assert_eq!(other.accept(record).await, SubmitOutcome::Stored);
+        assert_eq!(other.cancel(&id).await, CancelOutcome::Stored);
+        environment.compact();
+        environment.watches_are_silent.set(false);
+        let has_end = || environment.count_writes("progress/") > 0;
+        assert!(within(has_end).await, "the leader did not learn of the cancellation");
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 0, "the cancelled job was started");
+    });
+}
+
+/// Guards against a job that waits for the next watch, or longer: its notice came between the leader's
+/// read of the jobs and the end of its election, and was dropped.
+#[test]
+fn a_notice_that_comes_while_the_leader_loads_is_not_lost() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        environment.watches_are_silent.set(true);
+        environment.range_delay_ms.set(SLOW_RANGE_MS);
+        let node = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        tokio::time::sleep(AFTER_ELECTION_MS.to_duration()).await;
+        assert_eq!(node.accept(job(1)).await, SubmitOutcome::Stored);
+        assert!(within(|| environment.starts.get() > 0).await, "the job did not start");
+    });
+}
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -58,6 +58,12 @@
     pub unanswered_renewals: Cell<u32>,
     /// Reads of several items fail, as on a link that loses long answers.
     pub ranges_fail: Cell<bool>,
+    /// Answers to reads of several items take this much longer, and show the items of before.
+    pub range_delay_ms: Cell<Millis>,
+    /// Watches hear nothing.
+    pub watches_are_silent: Cell<bool>,
+    /// Watches from before this revision fail, since the history is gone.
+    pub compacted: Cell<u64>,
     /// All polls of workers fail.
     pub workers_are_unreachable: Cell<bool>,
     /// Number of polls that renewed leases.
@@ -128,6 +134,11 @@
         });
     }
 
+    /// Drops the history of the items.
+    pub fn compact(&self) {
+        self.compacted.set(self.revision.get());
+    }
+
     /// Number of transactions that wrote a key with this prefix.
     pub fn count_writes(&self, prefix: &str) -> usize {
         let commits = self.commits.borrow();
@@ -228,9 +239,14 @@
             if self.0.ranges_fail.get() {
                 return Err(StoreError::Unanswered);
             }
-            let items = self.0.items.borrow();
-            let found = items.values().filter(|(item, _)| item.key.starts_with(prefix));
-            Ok((found.map(|(item, _)| item.clone()).collect(), self.0.revision.get()))
+            let is_found = |(item, _): &&StoredItem| item.key.starts_with(prefix);
+            let found: Vec<Item> = {
+                let items = self.0.items.borrow();
+                items.values().filter(is_found).map(|(item, _)| item.clone()).collect()
+            };
+            let revision = self.0.revision.get();
+            sleep(self.0.range_delay_ms.get()).await;
+            Ok((found, revision))
         })
     }
 
@@ -244,6 +260,12 @@
             let until = clock::now() + wait_ms;
             loop {
                 sleep(STORE_CALL_MS).await;
+                if after < self.0.compacted.get() {
+                    return Err(StoreError::HistoryGone);
+                }
+                if self.0.watches_are_silent.get() {
+                    continue;
+                }
                 let (items, at) = self.range(prefix).await?;
                 let newer: Vec<Change> = items
                     .into_iter()
