--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -94,7 +94,7 @@
         if job.ended.is_some() {
             return;
         }
-        job.started = true;
+        job.has_begun = true;
         let record = job.record.clone();
         let Some(spec) = record.spec.steps.get(usize::from(key.step.step)) else { return };
         let over_share = job.over_share;
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -138,8 +138,8 @@
     pub(crate) known_ms: Millis,
     /// Accepted before this process became the leader.
     pub(crate) inherited: bool,
-    /// A task has started.
-    pub(crate) started: bool,
+    /// A worker has begun one of its tasks.
+    pub(crate) has_begun: bool,
     /// Occurrences that are open, by number.
     pub(crate) open_occurrences: BTreeMap<u32, Occurrence>,
     /// Numbers of the occurrences that are done, all below `next_occurrence`.
@@ -169,7 +169,7 @@
             accepted_ms,
             known_ms,
             inherited: false,
-            started: false,
+            has_begun: false,
             open_occurrences: BTreeMap::new(),
             done_occurrences: Vec::new(),
             next_occurrence: 0,
@@ -228,7 +228,7 @@
     pub(crate) fn status(&self) -> JobStatus {
         match self.ended {
             Some(end) if self.end_stored || end == FinalState::Cancelled => JobStatus::Ended(end),
-            _ if self.started => JobStatus::Running,
+            _ if self.has_begun => JobStatus::Running,
             _ => JobStatus::Queued,
         }
     }
@@ -306,6 +306,7 @@
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.ended = progress.ended;
         self.end_stored = progress.ended.is_some();
+        self.has_begun = progress.shows_begun_task();
         for (number, steps) in &progress.occurrences {
             while self.next_occurrence <= *number && self.next_occurrence < self.occurrence_count()
             {
@@ -314,13 +315,11 @@
             if steps.is_empty() {
                 self.open_occurrences.remove(number);
                 self.done_occurrences.push(*number);
-                self.started = true;
                 continue;
             }
             let Some(occurrence) = self.open_occurrences.get_mut(number) else { continue };
             for (step, stored) in occurrence.steps.iter_mut().zip(steps) {
                 restore_step(step, stored);
-                self.started |= !stored.done.is_empty() || !stored.failures.is_empty();
             }
         }
         for losses in &progress.losses {
@@ -329,7 +328,6 @@
             if let Some(task) = step.tasks.get_mut(losses.index as usize) {
                 task.losses.clone_from(&losses.runs);
             }
-            self.started = true;
         }
         if self.ended.is_some() {
             self.open_occurrences.clear();
--- a/components/cell/src/model.rs
+++ b/components/cell/src/model.rs
@@ -255,6 +255,17 @@
     pub losses: Vec<TaskLosses>,
 }
 
+impl Progress {
+    /// Whether it shows that a worker has begun a task. A loss does not: the start may not have
+    /// reached the worker.
+    pub fn shows_begun_task(&self) -> bool {
+        let shows_begun = |step: &StepProgress| {
+            !step.done.is_empty() || !step.failures.is_empty() || !step.checkpoints.is_empty()
+        };
+        self.occurrences.iter().any(|(_, steps)| steps.is_empty() || steps.iter().any(shows_begun))
+    }
+}
+
 /// A step of one occurrence of a job.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StepKey {
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -156,9 +156,11 @@
     fn reconcile_active_run(&mut self, id: &WorkerId, active: &ActiveRun, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let key = &active.task;
+        let mut is_first = false;
         match worker.runs.get_mut(key) {
             Some(run) if run.attempt == active.attempt => {
                 run.missed_polls = 0;
+                is_first = run.first_shown.is_none();
                 run.first_shown.get_or_insert((active.percent, now));
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
@@ -182,6 +184,9 @@
             Some(_) => {}
             None => self.adopt_run(id, active, now),
         }
+        if is_first {
+            self.record_begun(&key.step.job);
+        }
     }
 
     /// Adds a run that the cell did not know: adopts it if its task needs it, or else stops it.
@@ -198,7 +203,7 @@
         if let Some(job) = job
             && job.ended.is_none()
         {
-            job.started = true;
+            job.has_begun = true;
             if let Some(step) = job.step_mut(key.step.occurrence, key.step.step)
                 && let Some(task) = step.tasks.get_mut(key.index as usize)
                 && task.phase == Phase::Waiting
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -4,7 +4,7 @@
 
 use eventlog::event;
 use libs::compact_str::CompactString;
-use types::{Millis, Resources, TeamId, WorkerId};
+use types::{JobId, Millis, Resources, TeamId, WorkerId};
 
 use crate::action::{Action, PollOrder, Refusal, StartAnswer, StartOrder, StopOrder};
 use crate::cell::Cell;
@@ -36,7 +36,6 @@
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let record = job.record.clone();
-        job.started = true;
         let Some(step) = job.step_mut(key.step.occurrence, key.step.step) else { return };
         step.set_phase(key.index, Phase::Placed(worker_id.clone()));
         step.last_start_ms = now;
@@ -134,6 +133,9 @@
     /// same order is sent again at once, which is safe since a worker starts a run only once.
     pub fn start_answered(&mut self, order: &StartOrder, answer: StartAnswer, now: Millis) {
         let (worker_id, key) = (&order.worker, &order.task);
+        if answer == StartAnswer::Started {
+            self.record_begun(&key.step.job);
+        }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let Some(run) = worker.runs.get_mut(key) else { return };
         if run.attempt != order.attempt || run.state != RunState::Starting {
@@ -196,6 +198,14 @@
         self.release_run(worker_id, key, RETRY_MS, now);
     }
 
+    /// Records that a worker has begun a task of a job. An order shows nothing, since it may be
+    /// refused or lost.
+    pub(crate) fn record_begun(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_begun = true;
+        }
+    }
+
     /// Processes the answer to a stop, or its absence.
     pub fn stop_answered(
         &mut self,
--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -272,6 +272,20 @@
     });
 }
 
+/// Guards against a number of pending jobs that is too low: a job whose start was refused counted as one
+/// that has begun.
+#[test]
+fn pending_jobs_are_counted_while_workers_refuse_starts() {
+    play(|seed| {
+        let faults = Faults { fail_run: 0, ..faults(seed) };
+        let mut sim = Simulation::new(seed, policy(), generate_workers(9), faults, FAULTS_END_MS);
+        for at in [Millis(2_000), Millis(11_000)] {
+            sim.refuse_starts_at(at, 6_500);
+        }
+        assert_none(seed, &play_schedule(seed, sim, false));
+    });
+}
+
 /// Guards against starts in an evacuated domain later than the bound, whatever else fails, and against
 /// work that never runs once the domains have returned.
 #[test]
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -165,6 +165,10 @@
         worker: WorkerId,
         capacity: Resources,
     },
+    /// All workers refuse starts until a time.
+    StartsRefused {
+        until_ms: Millis,
+    },
     /// An operator requests the evacuation of a domain.
     Evacuate(DomainId),
     /// The operator removes the request.
@@ -347,6 +351,11 @@
         self.at(at, Event::CapacityChanges { worker: worker.clone(), capacity });
     }
 
+    /// Lets all workers refuse starts from a time on, for some milliseconds.
+    pub fn refuse_starts_at(&mut self, at: Millis, for_ms: u64) {
+        self.at(at, Event::StartsRefused { until_ms: at + Millis(for_ms) });
+    }
+
     /// Requests the evacuation of a domain at a time, and removes the request some milliseconds later.
     pub fn evacuate_at(&mut self, at: Millis, domain: &DomainId, for_ms: u64) {
         self.at(at, Event::Evacuate(domain.clone()));
@@ -824,6 +833,11 @@
                     worker.set_capacity(capacity, now);
                 }
             }
+            Event::StartsRefused { until_ms } => {
+                for worker in self.workers.values_mut() {
+                    worker.refuses_starts_until_ms = until_ms;
+                }
+            }
             Event::Evacuate(domain) => {
                 let revision = self.evacuation_changes.len() as u64 + 1;
                 self.checks.evacuated(&domain, now);
@@ -939,6 +953,7 @@
         }
         self.store_run_times();
         self.store_roster();
+        self.check_pending();
         if self.faults.leader_steps_down > 0 && self.chance(self.faults.leader_steps_down) {
             self.step_down();
         }
@@ -970,6 +985,15 @@
         self.after(TICK_MS, Event::Tick);
     }
 
+    /// Checks the number of pending jobs that the leader gives for each queue.
+    fn check_pending(&mut self) {
+        let Some(term) = self.terms.last().filter(|term| !term.deposed) else { return };
+        for queue in self.policy.queues.keys() {
+            let pending = term.cell.queued_jobs(queue);
+            self.checks.pending_given(queue, pending, self.now);
+        }
+    }
+
     fn any_worker(&mut self) -> WorkerId {
         let number = self.rng.random_range(0..self.workers.len());
         self.workers.keys().nth(number).cloned().unwrap_or_default()
--- a/components/cell/tests/simulation/worker.rs
+++ b/components/cell/tests/simulation/worker.rs
@@ -54,6 +54,8 @@
     pub unlisted_until_ms: Millis,
     pub fence: u64,
     pub runs: BTreeMap<TaskKey, Running>,
+    /// Time until which it refuses all starts as unhealthy.
+    pub refuses_starts_until_ms: Millis,
     /// All its runs fail (`fails_all`) or make no progress (`stalls`).
     pub fails_all: bool,
     pub stalls: bool,
@@ -89,6 +91,7 @@
             unlisted_until_ms: Millis(0),
             fence: 0,
             runs: BTreeMap::new(),
+            refuses_starts_until_ms: Millis(0),
             fails_all: false,
             stalls: false,
             slowness: 1.0,
@@ -256,6 +259,9 @@
         if !self.is_reachable(now) {
             return StartAnswer::Unanswered;
         }
+        if now < self.refuses_starts_until_ms {
+            return StartAnswer::Refused(Refusal::Unhealthy);
+        }
         if order.fence < self.fence {
             return StartAnswer::Refused(Refusal::Fenced);
         }
--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -234,7 +234,8 @@
         if item.is_some() {
             return JobLookup::Known(JobStatus::Ended(FinalState::Cancelled));
         }
-        JobLookup::Known(if progress.is_some() { JobStatus::Running } else { JobStatus::Queued })
+        let has_begun = progress.is_some_and(|progress| progress.shows_begun_task());
+        JobLookup::Known(if has_begun { JobStatus::Running } else { JobStatus::Queued })
     }
 
     /// Cancels a job, directly or through a peer, and notifies the leader.
