--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -99,6 +99,10 @@
                 "silent_ms" => now.since(worker.last_answer_ms).0);
         }
         worker.reachable = true;
+        let is_first = worker.last_answer_ms == Millis(0);
+        if is_first {
+            worker.incarnation_unix_ms = answer.incarnation_unix_ms;
+        }
         let restarted = answer.incarnation_unix_ms > worker.incarnation_unix_ms;
         if regained && !restarted {
             self.withdraw_losses_of_worker(id);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -43,6 +43,34 @@
     pub cold_remaining_ms: Millis,
 }
 
+/// Most processor time of a worker, in thousandths of a core: a million cores.
+const MAX_CPU_MILLI: u64 = 1_000_000_000;
+/// Most memory of a worker, in mebibytes: an exbibyte.
+const MAX_MEM_MB: u64 = 1 << 40;
+/// Most accelerators of a worker.
+const MAX_ACCELS: u64 = 1_000_000;
+/// Longest time until a worker is warm or leaves.
+const MAX_AHEAD_MS: Millis = Millis(24 * 3_600_000);
+
+impl WorkerReport {
+    /// What is wrong with an entry that no worker can have written; none if it may be sound. Sums over
+    /// all workers, and their percentages, stay far from overflow with amounts within the limits.
+    pub fn problem(&self) -> Option<&'static str> {
+        let Resources { cpu_milli, mem_mb, accels } = self.capacity;
+        let is_too_large = cpu_milli > MAX_CPU_MILLI || mem_mb > MAX_MEM_MB || accels > MAX_ACCELS;
+        let ahead_ms = self.cold_remaining_ms.max(self.leaves_in_ms.unwrap_or_default());
+        if is_too_large {
+            Some("more capacity than any worker has")
+        } else if ahead_ms > MAX_AHEAD_MS {
+            Some("a time more than a day ahead")
+        } else if self.address.port() == 0 {
+            Some("an address without a port")
+        } else {
+            None
+        }
+    }
+}
+
 /// State of a run on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunState {
@@ -147,7 +175,8 @@
     pub(crate) reported_silent: bool,
     /// A stored roster may say that no other tasks run there.
     pub(crate) named_tasks: Option<Vec<TaskKey>>,
-    /// Start of the incarnation that answered last, in Unix milliseconds.
+    /// Start of the incarnation that answered last, in Unix milliseconds; 0 before the first answer.
+    /// Entries of the worker list do not count, since others can write them.
     pub(crate) incarnation_unix_ms: u64,
     /// Restarts seen in this epoch.
     pub(crate) restarts: u64,
@@ -186,7 +215,7 @@
 impl Worker {
     pub(crate) fn new(report: WorkerReport, now: Millis) -> Self {
         Self {
-            incarnation_unix_ms: report.incarnation_unix_ms,
+            incarnation_unix_ms: 0,
             restarts: 0,
             report,
             listed: true,
--- a/components/cell/src/worker_list.rs
+++ b/components/cell/src/worker_list.rs
@@ -15,8 +15,15 @@
 const UNLISTED_RETENTION_MS: Millis = Millis(20_000);
 
 impl Cell {
-    /// Adds or updates a worker from its entry in the list of workers.
+    /// Adds or updates a worker from its entry in the list of workers. One whose entry no worker can
+    /// have written counts as unlisted.
     pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
+        if let Some(problem) = report.problem() {
+            event!("worker.entry_rejected", "worker" => report.id.as_str(), "problem" => problem,
+                "address" => report.address.to_string(), "capacity" => report.capacity.to_string());
+            self.worker_unlisted(&report.id, now);
+            return;
+        }
         match self.workers.get_mut(&report.id) {
             Some(worker) => {
                 // Workers write their entries again and again, mostly without a change.
@@ -33,7 +40,8 @@
                         "used" => worker.used.to_string());
                 }
                 worker.listed = true;
-                let restarted = report.incarnation_unix_ms > worker.incarnation_unix_ms;
+                let restarted = worker.last_answer_ms > Millis(0)
+                    && report.incarnation_unix_ms > worker.incarnation_unix_ms;
                 worker.leaves_ms = leaves_ms(&report, now);
                 worker.cold_until_ms = now + report.cold_remaining_ms;
                 worker.is_evacuated = is_evacuated(&self.evacuations, &report, now);
--- a/components/libs/src/lib.rs
+++ b/components/libs/src/lib.rs
@@ -14,6 +14,7 @@
 pub use hdrhistogram;
 pub use indicatif;
 pub use log;
+pub use percent_encoding;
 pub use plotters;
 pub use postcard;
 pub use quick_error;
