--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -194,7 +194,8 @@
         match self.record.spec.recurrence {
             None => self.record.accepted_unix_ms,
             Some(recurrence) => {
-                recurrence.first_unix_ms + u64::from(occurrence) * recurrence.interval_ms.0
+                let after_ms = recurrence.interval_ms.0.saturating_mul(u64::from(occurrence));
+                recurrence.first_unix_ms.saturating_add(after_ms)
             }
         }
     }
@@ -379,7 +380,7 @@
             .max()
             .copied()
             .unwrap_or(0);
-        chain_ends.push(before + step.estimate_ms.0);
+        chain_ends.push(step.estimate_ms.0.saturating_add(before));
     }
     Millis(chain_ends.into_iter().max().unwrap_or(0))
 }
--- a/components/cell/src/periodic.rs
+++ b/components/cell/src/periodic.rs
@@ -101,7 +101,8 @@
                     .filter(|_| self.settings.decide_by_run_times);
                 let expected_ms = forecast
                     .map_or(spec.estimate_ms, |forecast| on_worker(forecast.high_ms, slowness));
-                let estimate_part = Millis(expected_ms.0 * STALL_ESTIMATE_PERCENT / 100);
+                let estimate_part =
+                    Millis(expected_ms.0.saturating_mul(STALL_ESTIMATE_PERCENT) / 100);
                 let limit = Millis(
                     (STALL_MS + estimate_part).0
                         << stalls.saturating_sub(1).min(MAX_STALL_DOUBLINGS),
@@ -148,7 +149,7 @@
         for (key, run) in &mut worker.runs {
             let spec = spec_of(&self.jobs, &key.step);
             let Some(target) = spec.and_then(|spec| spec.latency_target_ms) else { continue };
-            let percent = run.gauge * 100 / target.0.max(1);
+            let percent = run.gauge.saturating_mul(100) / target.0.max(1);
             load_percent = load_percent.max(Some(percent));
         }
         for (key, run) in &mut worker.runs {
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -363,7 +363,7 @@
     /// Time after which every run under the leases has certainly ended.
     pub(crate) fn leases_end_ms(&self) -> Millis {
         let left = self.lease_deadline_ms.since(self.clock_ms);
-        let drift = Millis(left.0 * CLOCK_DRIFT_PERCENT / 100);
+        let drift = Millis(left.0.saturating_mul(CLOCK_DRIFT_PERCENT) / 100);
         (self.last_answer_ms + left + drift + LEASE_SLACK_MS).max(self.unseen_runs_until_ms)
     }
 
