--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -139,20 +139,21 @@
         }
     }
 
-    /// Removes ended jobs whose retention time has passed, and returns their ids.
-    pub fn take_expired(&mut self, now: Millis) -> Vec<JobId> {
+    /// Ended jobs whose retention time has passed. They stay known until [`Cell::forget_jobs`], since
+    /// a job that is not known counts as new when the store lists it.
+    pub fn expired_jobs(&mut self, now: Millis) -> Vec<JobId> {
         let keep = self.settings.ended_retention_ms + EXTRA_RETENTION_MS;
-        let expired: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.end_stored && now.since(job.ended_ms) > keep)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &expired {
+        self.early_cancels.retain(|_, known_ms| now.since(*known_ms) <= keep);
+        let is_expired = |job: &Job| job.end_stored && now.since(job.ended_ms) > keep;
+        let expired = self.jobs.iter().filter(|(_, job)| is_expired(job));
+        expired.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Forgets expired jobs that were removed from the store.
+    pub fn forget_jobs(&mut self, ids: &[JobId]) {
+        for id in ids {
             self.jobs.remove(id);
             self.open_jobs.remove(id);
         }
-        self.early_cancels.retain(|_, known_ms| now.since(*known_ms) <= keep);
-        expired
     }
 }
--- a/components/cell/tests/unknown_jobs.rs
+++ b/components/cell/tests/unknown_jobs.rs
@@ -100,7 +100,7 @@
 fn the_cancellation_of_a_job_that_stays_unknown_is_forgotten() {
     let mut cell = cell();
     cell.cancel_job(&JOB.parse().expect("job id"), NOW);
-    cell.take_expired(NOW + Millis(200_000));
+    cell.expired_jobs(NOW + Millis(200_000));
     cell.add_job(record(JOB), NOW + Millis(200_010));
     assert_eq!(starts(&mut cell, NOW + Millis(200_020)).len(), 1);
 }
--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -99,6 +99,7 @@
                 }
                 Err(StoreError::HistoryGone) => {
                     event!("store.history_gone", "prefix" => keys::INTAKE, "after" => after);
+                    let _guard = leader.removing.lock().await;
                     if let Ok((items, at)) =
                         self.store_result(self.ports.store.range(keys::INTAKE).await)
                     {
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -91,6 +91,9 @@
     pub(crate) store_requested: Notify,
     /// Held while a batch is stored, because each batch is conditional on the previous one.
     pub(crate) storing: tokio::sync::Mutex<()>,
+    /// Held while jobs are removed and while all are listed: a job in a list that was read before its
+    /// removal would count as new.
+    pub(crate) removing: tokio::sync::Mutex<()>,
     pub(crate) token: CancellationToken,
 }
 
@@ -130,6 +133,7 @@
             changed: Notify::new(),
             store_requested: Notify::new(),
             storing: tokio::sync::Mutex::new(()),
+            removing: tokio::sync::Mutex::new(()),
             token: CancellationToken::new(),
         }
     }
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -224,7 +224,7 @@
 
     /// Removes ended jobs whose retention time has passed.
     async fn remove_expired_jobs(&self, leader: &Leader) {
-        let expired = leader.cell.borrow_mut().take_expired(clock::now());
+        let expired = leader.cell.borrow_mut().expired_jobs(clock::now());
         for chunk in expired.chunks(MAX_EXPIRED_JOBS) {
             let transaction = Transaction {
                 expected: vec![(keys::LEADER.to_owned(), leader.revision)],
@@ -234,9 +234,14 @@
                     .flat_map(|id| [keys::job(id), keys::cancel(id), keys::progress(id)])
                     .collect(),
             };
-            // Jobs that remain are loaded and removed by the next leader.
-            if self.store_result(self.ports.store.commit(&transaction).await).is_err() {
+            let _guard = leader.removing.lock().await;
+            let removed = self.store_result(self.ports.store.commit(&transaction).await);
+            if matches!(removed, Ok(Commit::Done(_))) {
+                leader.cell.borrow_mut().forget_jobs(chunk);
+            } else {
+                // The next call removes the rest, also the jobs that may be gone.
                 event!("job.remove_failed", "jobs" => chunk.len());
+                return;
             }
         }
     }
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -16,9 +16,15 @@
 /// Longer than the store takes to answer a read, shorter than `SLOW_RANGE_MS`.
 const AFTER_ELECTION_MS: Millis = Millis(60);
 const SLOW_RANGE_MS: Millis = Millis(400);
+/// Longer than ended jobs are kept in these tests, and the time between two removals.
+const EXPIRED_MS: Millis = Millis(17_000);
 
 async fn within(condition: impl Fn() -> bool) -> bool {
-    let until = clock::now() + TIMEOUT_MS;
+    within_ms(TIMEOUT_MS, condition).await
+}
+
+async fn within_ms(timeout_ms: Millis, condition: impl Fn() -> bool) -> bool {
+    let until = clock::now() + timeout_ms;
     while !condition() {
         if clock::now() > until {
             return false;
@@ -76,3 +82,25 @@
         assert!(within(|| environment.starts.get() > 0).await, "the job did not start");
     });
 }
+
+/// Guards against a job that is done and runs again: it was kept in the store, since its removal failed, and
+/// after a loss of history the leader took it for one that had just been accepted.
+#[test]
+fn a_job_that_could_not_be_removed_does_not_run_again() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        let node = start("leader", &environment);
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        assert_eq!(node.accept(job(1)).await, SubmitOutcome::Stored);
+        assert!(within(|| environment.count_writes("progress/") > 0).await, "the job did not end");
+        environment.writes_are_lost.set(true);
+        tokio::time::sleep(EXPIRED_MS.to_duration()).await;
+        environment.compact();
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 1, "the job was started again");
+        environment.writes_are_lost.set(false);
+        let is_removed = || environment.value("in/job/0000000000000001").is_none();
+        assert!(within_ms(EXPIRED_MS, is_removed).await, "the job is kept for good");
+    });
+}
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -134,9 +134,9 @@
         });
     }
 
-    /// Drops the history of the items.
+    /// Drops the history of the items, so that all watches fail once.
     pub fn compact(&self) {
-        self.compacted.set(self.revision.get());
+        self.compacted.set(self.next_revision());
     }
 
     /// Number of transactions that wrote a key with this prefix.
