--- a/components/cell/src/learning.rs
+++ b/components/cell/src/learning.rs
@@ -271,7 +271,7 @@
         let Some(learning) = &mut self.learning else { return };
         let Some(worker) = self.workers.get_mut(id) else { return };
         let restored = learning.restored_unix_ms;
-        if restored > 0 && worker.report.incarnation_unix_ms > restored {
+        if restored > 0 && worker.incarnation_unix_ms > restored {
             // The former leader knew another incarnation.
             learning.model.forget_worker(id);
         }
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -100,7 +100,8 @@
         }
         worker.reachable = true;
         let is_first = worker.last_answer_ms == Millis(0);
-        if is_first {
+        if is_first && answer.incarnation_unix_ms < worker.incarnation_unix_ms {
+            // The entry is wrong: no later restart would be noticed.
             worker.incarnation_unix_ms = answer.incarnation_unix_ms;
         }
         let restarted = answer.incarnation_unix_ms > worker.incarnation_unix_ms;
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -175,8 +175,8 @@
     pub(crate) reported_silent: bool,
     /// A stored roster may say that no other tasks run there.
     pub(crate) named_tasks: Option<Vec<TaskKey>>,
-    /// Start of the incarnation that answered last, in Unix milliseconds; 0 before the first answer.
-    /// Entries of the worker list do not count, since others can write them.
+    /// Start of the incarnation that answered last, in Unix milliseconds. Before the first answer it is
+    /// what the entry shows, which others can write.
     pub(crate) incarnation_unix_ms: u64,
     /// Restarts seen in this epoch.
     pub(crate) restarts: u64,
@@ -215,7 +215,7 @@
 impl Worker {
     pub(crate) fn new(report: WorkerReport, now: Millis) -> Self {
         Self {
-            incarnation_unix_ms: 0,
+            incarnation_unix_ms: report.incarnation_unix_ms,
             restarts: 0,
             report,
             listed: true,
--- a/components/cell/src/worker_list.rs
+++ b/components/cell/src/worker_list.rs
@@ -40,8 +40,7 @@
                         "used" => worker.used.to_string());
                 }
                 worker.listed = true;
-                let restarted = worker.last_answer_ms > Millis(0)
-                    && report.incarnation_unix_ms > worker.incarnation_unix_ms;
+                let restarted = report.incarnation_unix_ms > worker.incarnation_unix_ms;
                 worker.leaves_ms = leaves_ms(&report, now);
                 worker.cold_until_ms = now + report.cold_remaining_ms;
                 worker.is_evacuated = is_evacuated(&self.evacuations, &report, now);
