--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -301,9 +301,17 @@
             && spec.label.as_ref().is_none_or(|label| self.report.labels.contains(label))
     }
 
+    /// Whether its entry is of the incarnation that answers. A worker may come back under its id with
+    /// other labels and another capacity. Entries without a start are taken for current.
+    fn is_described(&self) -> bool {
+        let described = self.report.incarnation_unix_ms;
+        described == 0 || described == self.incarnation_unix_ms
+    }
+
     /// Whether it accepts tasks of any step now, regardless of free resources and tickets.
     pub(crate) fn accepts_any(&self, now: Millis) -> bool {
         self.attached
+            && self.is_described()
             && self.reachable
             && !self.reported_silent
             && self.named_tasks.is_none()
--- a/components/cell/tests/worker_entries.rs
+++ b/components/cell/tests/worker_entries.rs
@@ -67,6 +67,7 @@
     for (number, born) in [(1, 5), (2, 6), (3, 7)] {
         let now = NOW + Millis(number * 1_000);
         poll(&mut cell, born, Vec::new(), Vec::new(), now);
+        cell.worker_listed(WorkerReport { incarnation_unix_ms: born, ..report("w0") }, now);
         let order = start(&mut cell, &format!("{number:016x}"), now + Millis(10));
         let end = done(&order, 1);
         poll(&mut cell, born, vec![end], Vec::new(), now + Millis(600));
@@ -80,6 +81,47 @@
     }
 }
 
+/// Guards against a start on a worker without the label that the task requires, and against one beyond its
+/// capacity: it came back under its id with others, and its entry was still that of its former incarnation.
+#[test]
+fn a_worker_gets_no_work_by_the_entry_of_its_former_incarnation() {
+    let mut cell = cell();
+    let labelled = WorkerReport { labels: vec!["b".into()], ..report("w0") };
+    cell.worker_listed(labelled.clone(), NOW);
+    poll(&mut cell, 5, Vec::new(), Vec::new(), NOW);
+    poll(&mut cell, 6, Vec::new(), Vec::new(), NOW + Millis(500));
+    let need = Resources { cpu_milli: 1_000, mem_mb: 100, accels: 0 };
+    let usual = StepSpec { tasks: 1, need, estimate_ms: Millis(500), ..StepSpec::default() };
+    let requires = StepSpec { label: Some("b".into()), ..usual.clone() };
+    cell.add_job(job("00000000000000a1", "batch", "large", vec![requires]), NOW);
+    cell.add_job(job("00000000000000a2", "batch", "large", vec![usual]), NOW);
+    let started = |cell: &mut Cell, now| {
+        cell.tick(now);
+        cell.schedule(now);
+        let job = |action| match action {
+            Action::Start(order) => Some(order.task.step.job.to_string()),
+            _ => None,
+        };
+        cell.take_actions().into_iter().filter_map(job).collect::<Vec<_>>()
+    };
+    assert!(
+        started(&mut cell, NOW + Millis(510)).is_empty(),
+        "its entry is of another incarnation"
+    );
+    let renewed = WorkerReport { incarnation_unix_ms: 6, labels: vec!["a".into()], ..labelled };
+    cell.worker_listed(renewed, NOW + Millis(800));
+    assert_eq!(started(&mut cell, NOW + Millis(810)), ["00000000000000a2"], "it has no label b");
+}
+
+/// A worker whose entry shows no start is taken for what the entry says.
+#[test]
+fn a_worker_whose_entry_shows_no_start_gets_work() {
+    let mut cell = cell();
+    cell.worker_listed(WorkerReport { incarnation_unix_ms: 0, ..report("w0") }, NOW);
+    poll(&mut cell, 7, Vec::new(), Vec::new(), NOW);
+    start(&mut cell, "00000000000000a1", NOW + Millis(10));
+}
+
 /// Guards against sums that overflow: amounts that no worker has would take part in them.
 #[test]
 fn a_worker_with_an_absurd_entry_is_unlisted_until_its_entry_is_sound() {
