--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -26,7 +26,7 @@
 const MAX_BODY_BYTES: usize = 16 << 20;
 /// Connections idle for longer than this are closed, because servers close them after 15 s.
 const MAX_IDLE_MS: Millis = Millis(8_000);
-/// Maximum number of idle connections per address.
+/// Default of the maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
 /// Why a call has no response.
@@ -110,13 +110,48 @@
     idle_since: Instant,
 }
 
+/// Idle connections to an address.
+#[derive(Default)]
+struct IdlePool {
+    connections: Vec<IdleConnection>,
+    /// A task closes those that are idle for too long.
+    is_swept: bool,
+}
+
+impl IdlePool {
+    /// Closes connections that are idle for too long.
+    fn retain_fresh(&mut self) {
+        self.connections.retain(|connection| {
+            !connection.sender.is_closed()
+                && connection.idle_since.elapsed() < MAX_IDLE_MS.to_duration()
+        });
+    }
+}
+
+type IdlePools = RefCell<HashMap<SocketAddr, IdlePool>>;
+
 /// Handle to the connection pool. Clones share the connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Rc<IdlePools>,
+    max_idle_connections: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::with_max_idle(MAX_IDLE_CONNECTIONS)
+    }
 }
 
 impl Client {
+    /// Creates a client that keeps at most this number of idle connections per address.
+    ///
+    /// A process that loses power never closes them. A server with a limit on its connections, which
+    /// outlives many clients, needs clients that keep few.
+    pub fn with_max_idle(connections: usize) -> Self {
+        Self { idle: Rc::default(), max_idle_connections: connections }
+    }
+
     /// Sends the request on an idle or a new connection and waits for the response.
     pub async fn call(
         &self,
@@ -175,19 +210,34 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
-        connections.retain(|connection| {
-            !connection.sender.is_closed()
-                && connection.idle_since.elapsed() < MAX_IDLE_MS.to_duration()
-        });
-        connections.pop().map(|connection| connection.sender)
+        let pool = idle.get_mut(&address)?;
+        pool.retain_fresh();
+        pool.connections.pop().map(|connection| connection.sender)
     }
 
     fn put_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(address).or_default();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(IdleConnection { sender, idle_since: Instant::now() });
+        let pool = idle.entry(address).or_default();
+        if pool.connections.len() < self.max_idle_connections {
+            pool.connections.push(IdleConnection { sender, idle_since: Instant::now() });
+        }
+        if !std::mem::replace(&mut pool.is_swept, true) {
+            tokio::task::spawn_local(sweep(Rc::downgrade(&self.idle), address));
+        }
+    }
+}
+
+/// Closes the connections to an address that are idle for too long, until there are none.
+async fn sweep(idle: Weak<IdlePools>, address: SocketAddr) {
+    loop {
+        tokio::time::sleep(MAX_IDLE_MS.to_duration()).await;
+        let Some(idle) = idle.upgrade() else { return };
+        let mut idle = idle.borrow_mut();
+        let Some(pool) = idle.get_mut(&address) else { return };
+        pool.retain_fresh();
+        if pool.connections.is_empty() {
+            idle.remove(&address);
+            return;
         }
     }
 }
