--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -303,7 +303,7 @@
 
     /// Whether its entry is of the incarnation that answers. A worker may come back under its id with
     /// other labels and another capacity. Entries without a start are taken for current.
-    fn is_described(&self) -> bool {
+    fn has_current_entry(&self) -> bool {
         let described = self.report.incarnation_unix_ms;
         described == 0 || described == self.incarnation_unix_ms
     }
@@ -311,7 +311,7 @@
     /// Whether it accepts tasks of any step now, regardless of free resources and tickets.
     pub(crate) fn accepts_any(&self, now: Millis) -> bool {
         self.attached
-            && self.is_described()
+            && self.has_current_entry()
             && self.reachable
             && !self.reported_silent
             && self.named_tasks.is_none()
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -172,7 +172,9 @@
         result.map_err(|reason| {
             if reason == Interrupted::Stalled {
                 // Other idle connections to this address may be unresponsive too.
-                self.idle.borrow_mut().remove(&address);
+                if let Some(pool) = self.idle.borrow_mut().get_mut(&address) {
+                    pool.connections.clear();
+                }
             }
             CallError::Unanswered
         })
