--- a/components/cell/tests/fault_schedules.rs
+++ b/components/cell/tests/fault_schedules.rs
@@ -333,4 +333,5 @@
 #[test]
 fn a_task_is_given_up_in_time_after_two_unnoticed_crashes() {
     [431, 2623].into_iter().for_each(check);
+    check_with(471, takeover_faults(471), true);
 }
