Log how and when the leader learns of a cancellation

The lines of before could not tell why: neither the cancellation nor the start showed how the leader had learned of it, how late, or on which grounds the caller was answered, and a lost notice was only counted.

The process that talks to the store logs on which state of the job it answered, and notices that the leader did not confirm. The leader logs each cancellation with its way and, from the store, its age, and shows the age of its news of stored jobs and cancellations. A stored cancellation holds its time for that; empty ones of earlier versions are read as before. A list after a loss of history is logged with its time, or its failure. No decision changes.

Test: the_leader_shows_how_late_it_learned_of_a_cancellation.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -293,18 +293,23 @@
     }
 
     /// Ends a job whose cancellation was stored. A job that is not known yet ends once it is: the
-    /// store may list cancellations first, and notices of other processes may be lost.
-    pub fn cancel_job(&mut self, id: &JobId, now: Millis) {
+    /// store may list cancellations first, and notices of other processes may be lost. Returns
+    /// whether the cancellation was new.
+    pub fn cancel_job(&mut self, id: &JobId, now: Millis) -> bool {
         let Some(job) = self.jobs.get(id) else {
+            if self.early_cancels.contains_key(id) {
+                return false;
+            }
             event!("job.cancelled_early", "job" => id.as_str());
-            self.early_cancels.entry(id.clone()).or_insert(now);
-            return;
+            self.early_cancels.insert(id.clone(), now);
+            return true;
         };
         if job.ended.is_some() {
-            return;
+            return false;
         }
         event!("job.cancelled", "job" => id.as_str());
         self.end_job(id, FinalState::Cancelled, now);
+        true
     }
 
     pub(crate) fn end_job(&mut self, id: &JobId, end: FinalState, now: Millis) {
--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -5,12 +5,14 @@
 use cell::JobRecord;
 use eventlog::event;
 use libs::tokio;
+use serde::{Deserialize, Serialize};
 use types::{JobId, Millis};
 
+use crate::codec::decode;
 use crate::keys;
 use crate::leader::{Leader, cancelled_id, read};
 use crate::node::Node;
-use crate::ports::{Change, StoreError, WorkerChange};
+use crate::ports::{Change, Item, StoreError, WorkerChange};
 
 /// Longest time that one watch call waits for changes.
 const WATCH_TIMEOUT_MS: Millis = Millis(1_500);
@@ -41,6 +43,43 @@
     Cancelled(JobId),
 }
 
+/// How a leader learned of a change of the intake.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Source {
+    /// A message of the process that stored it.
+    Notice,
+    /// The watch of the store.
+    Watch,
+    /// A list of the store, after a loss of its history.
+    List,
+    /// The stored state that a new leader loads.
+    Load,
+}
+
+/// Stored value of a cancellation. Those of earlier versions are empty.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Cancellation {
+    /// When it was stored, by the clock of the process that stored it.
+    pub(crate) unix_ms: u64,
+}
+
+/// Time since a cancellation was stored, if its value tells.
+pub(crate) fn cancellation_age(item: &Item) -> Option<Millis> {
+    let stored: Cancellation = decode(&item.value).ok()?;
+    Some(Millis(eventlog::unix_ms().saturating_sub(stored.unix_ms)))
+}
+
+/// Logs that a leader has learned of a cancellation.
+pub(crate) fn log_cancellation(
+    leader: &Leader,
+    id: &JobId,
+    source: Source,
+    age_ms: Option<Millis>,
+) {
+    event!("leader.cancellation", "job" => id.as_str(), "source" => format!("{source:?}"),
+        "age_ms" => age_ms.map(|age| age.0), "epoch" => leader.epoch());
+}
+
 impl Node {
     /// Passes a notice to the cell, if this process leads. While it loads the stored state, notices
     /// wait: the change may be newer than what it has read.
@@ -52,7 +91,7 @@
         }
         match notice {
             Notice::Accepted(record) => self.on_job_accepted(*record),
-            Notice::Cancelled(id) => self.on_job_cancelled(&id),
+            Notice::Cancelled(id) => self.on_job_cancelled(&id, Source::Notice, None),
         }
     }
 
@@ -78,9 +117,15 @@
         }
     }
 
-    fn on_job_cancelled(&self, id: &JobId) {
+    fn on_job_cancelled(&self, id: &JobId, source: Source, age_ms: Option<Millis>) {
         if let Some(leader) = self.loaded_term() {
-            leader.cell.borrow_mut().cancel_job(id, clock::now());
+            if leader.cell.borrow_mut().cancel_job(id, clock::now()) {
+                log_cancellation(&leader, id, source, age_ms);
+                self.metrics.count("cancellations_learned");
+                if let Some(age_ms) = age_ms {
+                    self.metrics.time_ms("cancellation_age_ms", age_ms.0);
+                }
+            }
             leader.changed.notify_one();
         }
     }
@@ -92,22 +137,16 @@
             match self.store_result(watched) {
                 Ok((changes, at)) => {
                     for change in &changes {
-                        self.apply_intake_change(change);
+                        self.apply_intake_change(change, Source::Watch);
                     }
+                    self.metrics.add("intake_changes", changes.len() as u64);
+                    leader.intake_heard_ms.set(clock::now());
                     leader.intake_after.set(at);
                     tokio::time::sleep(INTAKE_PERIOD_MS.to_duration()).await;
                 }
                 Err(StoreError::HistoryGone) => {
                     event!("store.history_gone", "prefix" => keys::INTAKE, "after" => after);
-                    let _guard = leader.removing.lock().await;
-                    if let Ok((items, at)) =
-                        self.store_result(self.ports.store.range(keys::INTAKE).await)
-                    {
-                        for item in items {
-                            self.apply_intake_change(&Change::Put(item));
-                        }
-                        leader.intake_after.set(at);
-                    }
+                    self.list_intake(&leader).await;
                     tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
                 }
                 Err(_recorded) => tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await,
@@ -115,10 +154,30 @@
         }
     }
 
-    fn apply_intake_change(&self, change: &Change) {
+    async fn list_intake(&self, leader: &Leader) {
+        let _guard = leader.removing.lock().await;
+        let sent_ms = clock::now();
+        let listed = self.store_result(self.ports.store.range(keys::INTAKE).await);
+        let took_ms = clock::now().since(sent_ms);
+        match listed {
+            Ok((items, at)) => {
+                event!("intake.listed", "items" => items.len(), "at" => at, "took_ms" => took_ms.0);
+                for item in items {
+                    self.apply_intake_change(&Change::Put(item), Source::List);
+                }
+                leader.intake_heard_ms.set(sent_ms);
+                leader.intake_after.set(at);
+            }
+            Err(error) => event!("intake.list_failed", "error" => error.to_string(),
+                "took_ms" => took_ms.0,
+                "age_ms" => clock::now().since(leader.intake_heard_ms.get()).0),
+        }
+    }
+
+    fn apply_intake_change(&self, change: &Change, source: Source) {
         let Change::Put(item) = change else { return };
         if let Some(id) = cancelled_id(&item.key) {
-            self.on_job_cancelled(&id);
+            self.on_job_cancelled(&id, source, cancellation_age(item));
         } else if let Some(record) = read::<JobRecord>(item) {
             self.on_job_accepted(record);
         }
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -13,7 +13,7 @@
 
 use crate::capacity::CapacityForecast;
 use crate::codec::decode;
-use crate::intake::Notice;
+use crate::intake::{Notice, Source, cancellation_age, log_cancellation};
 use crate::keys;
 use crate::load::LoadMeter;
 use crate::node::{LEADER_COOLDOWN_MS, Node};
@@ -67,6 +67,9 @@
     pub(crate) early_notices: RefCell<Vec<Notice>>,
     /// Revision after which the intake is watched.
     pub(crate) intake_after: StdCell<u64>,
+    /// Up to when the changes of the intake are known: last answer of its watch, or send time of the
+    /// last list.
+    pub(crate) intake_heard_ms: StdCell<Millis>,
     /// Revision after which the list of workers is watched.
     pub(crate) workers_after: StdCell<u64>,
     /// Revision after which the requests to evacuate domains are watched.
@@ -119,6 +122,7 @@
             loaded_ms: StdCell::default(),
             early_notices: RefCell::default(),
             intake_after: StdCell::new(0),
+            intake_heard_ms: StdCell::default(),
             workers_after: StdCell::new(0),
             evacuations_after: StdCell::new(0),
             evacuations_read_ms: StdCell::default(),
@@ -332,8 +336,9 @@
             cell.restore(record, stored, now);
         }
         for item in &cancels {
-            if let Some(id) = cancelled_id(&item.key) {
-                cell.cancel_job(&id, now);
+            let Some(id) = cancelled_id(&item.key) else { continue };
+            if cell.cancel_job(&id, now) {
+                log_cancellation(leader, &id, Source::Load, cancellation_age(item));
             }
         }
         for report in workers {
@@ -349,6 +354,7 @@
         leader.roster_revision.set(Some(roster.map_or(0, |item| item.revision)));
         leader.batch_revision.set(batch.map_or(0, |item| item.revision));
         leader.intake_after.set(intake_after);
+        leader.intake_heard_ms.set(sent_ms);
         leader.workers_after.set(workers_after);
         Ok(())
     }
@@ -432,12 +438,15 @@
         let taken = leader.load.borrow_mut().take(LOAD_LOG_PERIOD_MS, clock::now());
         let Some(load) = taken else { return };
         let waiting = leader.cell.borrow().waiting_steps();
+        let intake_age_ms = clock::now().since(leader.intake_heard_ms.get());
+        self.metrics.gauge("intake_age_ms", intake_age_ms.0);
         event!("leader.load", "epoch" => leader.epoch, "interval_ms" => load.interval_ms.0,
             "probe_us" => self.speed.borrow().last().as_micros() as u64,
             "rounds" => load.rounds, "rounds_ms" => load.rounds_ms.0,
             "in_time" => waiting.in_time, "late" => waiting.late,
             "deferrable" => waiting.deferrable, "over_share" => waiting.over_share,
-            "overdue" => waiting.overdue, "advice_scans" => waiting.advice_scans);
+            "overdue" => waiting.overdue, "advice_scans" => waiting.advice_scans,
+            "intake_age_ms" => intake_age_ms.0);
         if self.settings.cell.unequal_workers {
             let speeds = leader.cell.borrow().speed_counts();
             event!("leader.speeds", "epoch" => leader.epoch,
--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -7,7 +7,7 @@
 use web::CallError;
 
 use crate::codec::encode;
-use crate::intake::Notice;
+use crate::intake::{Cancellation, Notice};
 use crate::keys;
 use crate::leader::read_progress;
 use crate::node::Node;
@@ -181,9 +181,19 @@
         let (Some(node), Some(address)) = (self.this.upgrade(), address) else { return };
         // The leader also watches the store, so a lost message only causes a delay.
         libs::tokio::task::spawn_local(async move {
-            if !matches!(node.send(address, &message, LEADER_TIMEOUT_MS).await, Ok(Answer::Done)) {
-                node.metrics.count("leader_not_told");
+            let answer = node.send(address, &message, LEADER_TIMEOUT_MS).await;
+            if matches!(answer, Ok(Answer::Done)) {
+                return;
             }
+            node.metrics.count("leader_not_told");
+            let (job, kind) = match &message {
+                Message::Submitted(record) => (&record.id, "Submitted"),
+                Message::Cancelled(id) => (id, "Cancelled"),
+                _ => return,
+            };
+            event!("leader.notice_lost", "job" => job.as_str(), "kind" => kind,
+                "address" => address.to_string(),
+                "answer" => answer.map_or_else(|error| error.to_string(), |_| "NotLeader".into()));
         });
     }
 
@@ -259,16 +269,31 @@
         }
     }
 
+    /// Stores the cancellation of a job that has not ended, and logs on which grounds it was answered.
     pub(crate) async fn store_cancel(&self, id: &JobId) -> CancelOutcome {
-        match self.status(id).await {
+        let began_ms = clock::now();
+        let found = self.status(id).await;
+        let outcome = self.store_cancel_of(id, found).await;
+        let leader_epoch = self.leader.borrow().as_ref().map(|leader| leader.epoch);
+        event!("job.cancel_stored", "job" => id.as_str(), "found" => format!("{found:?}"),
+            "outcome" => format!("{outcome:?}"), "took_ms" => clock::now().since(began_ms).0,
+            "leader_epoch" => leader_epoch);
+        outcome
+    }
+
+    async fn store_cancel_of(&self, id: &JobId, found: JobLookup) -> CancelOutcome {
+        match found {
             JobLookup::Unknown => return CancelOutcome::NoJob,
             JobLookup::NoAnswer => return CancelOutcome::Unknown,
             JobLookup::Known(JobStatus::Ended(_)) => return CancelOutcome::Stored,
             JobLookup::Known(_) => {}
         }
+        let Ok(value) = encode(&Cancellation { unix_ms: eventlog::unix_ms() }) else {
+            return CancelOutcome::Unknown;
+        };
         let transaction = Transaction {
             expected: Vec::new(),
-            puts: vec![(keys::cancel(id), Vec::new(), 0)],
+            puts: vec![(keys::cancel(id), value, 0)],
             removes: Vec::new(),
         };
         match self.commit_with_retry(&transaction).await {
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -66,6 +66,31 @@
     });
 }
 
+/// Guards against a late cancellation that no log line or metric shows: its notice was lost.
+#[test]
+fn the_leader_shows_how_late_it_learned_of_a_cancellation() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.watches_are_silent.set(true);
+        let leader = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        let other = start("other", &environment);
+        let record = job(1);
+        let id = record.id.clone();
+        assert_eq!(other.accept(record).await, SubmitOutcome::Stored);
+        assert_eq!(other.cancel(&id).await, CancelOutcome::Stored);
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        environment.watches_are_silent.set(false);
+        let shows = |line: &str| leader.metrics.text().lines().any(|shown| shown.starts_with(line));
+        assert!(within(|| shows("carobsill_cancellations_learned 1")).await, "it is not counted");
+        assert!(shows("carobsill_cancellation_age_ms"), "its age is not shown");
+        assert!(
+            within(|| shows("carobsill_intake_age_ms")).await,
+            "the age of its news is not shown"
+        );
+    });
+}
+
 /// Guards against a job that waits for the next watch, or longer: its notice came between the leader's
 /// read of the jobs and the end of its election, and was dropped.
 #[test]
