The cancellation of an unknown job outlives a submission without an answer

Cause: a cancellation that found no job in the store left nothing behind. A submission whose write got no answer is carried out later, by the store or by a further attempt of the process that took it, and the job started then.

The submission is written 900 ms late, the cancellation takes some 100 ms.

Ruled out as ways to mend it: a condition on the cancellation in the submission's transaction, whose conflict could not be told from a job that is stored already.

The cancellation is stored whether the job is known or not, and answered 410 as before. The leader ends the job as soon as it becomes known. Cancellations whose job does not come are removed from the store after the time for which ended jobs are kept, where they were only forgotten by the leader; one that cannot be removed stays known. A cancellation of an unknown job costs one write.

--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -141,14 +141,32 @@
 
     /// Ended jobs whose retention time has passed. They stay known until [`Cell::forget_jobs`], since
     /// a job that is not known counts as new when the store lists it.
-    pub fn expired_jobs(&mut self, now: Millis) -> Vec<JobId> {
-        let keep = self.settings.ended_retention_ms + EXTRA_RETENTION_MS;
-        self.early_cancels.retain(|_, known_ms| now.since(*known_ms) <= keep);
+    pub fn expired_jobs(&self, now: Millis) -> Vec<JobId> {
+        let keep = self.retention_ms();
         let is_expired = |job: &Job| job.end_stored && now.since(job.ended_ms) > keep;
         let expired = self.jobs.iter().filter(|(_, job)| is_expired(job));
         expired.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Jobs whose cancellation was kept for as long as an ended job, and which have not become known.
+    pub fn expired_cancellations(&self, now: Millis) -> Vec<JobId> {
+        let keep = self.retention_ms();
+        let expired =
+            self.early_cancels.iter().filter(|(_, known_ms)| now.since(**known_ms) > keep);
+        expired.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn retention_ms(&self) -> Millis {
+        self.settings.ended_retention_ms + EXTRA_RETENTION_MS
+    }
+
+    /// Forgets cancellations that were removed from the store.
+    pub fn forget_cancellations(&mut self, ids: &[JobId]) {
+        for id in ids {
+            self.early_cancels.remove(id);
+        }
+    }
+
     /// Forgets expired jobs that were removed from the store.
     pub fn forget_jobs(&mut self, ids: &[JobId]) {
         for id in ids {
--- a/components/cell/tests/unknown_jobs.rs
+++ b/components/cell/tests/unknown_jobs.rs
@@ -99,8 +99,12 @@
 #[test]
 fn the_cancellation_of_a_job_that_stays_unknown_is_forgotten() {
     let mut cell = cell();
-    cell.cancel_job(&JOB.parse().expect("job id"), NOW);
-    cell.expired_jobs(NOW + Millis(200_000));
+    let id = JOB.parse().expect("job id");
+    cell.cancel_job(&id, NOW);
+    let expired = cell.expired_cancellations(NOW + Millis(200_000));
+    assert_eq!(expired, [id]);
+    cell.forget_cancellations(&expired);
+    assert!(cell.expired_cancellations(NOW + Millis(400_000)).is_empty());
     cell.add_job(record(JOB), NOW + Millis(200_010));
     assert_eq!(starts(&mut cell, NOW + Millis(200_020)).len(), 1);
 }
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -26,6 +26,8 @@
 const EXPIRY_PERIOD_MS: Millis = Millis(5_000);
 /// Jobs removed in one transaction: each has three keys.
 const MAX_EXPIRED_JOBS: usize = 9;
+/// Cancellations removed in one transaction.
+const MAX_EXPIRED_CANCELLATIONS: usize = 28;
 
 /// Outcome of storing a batch.
 #[derive(Clone, Copy)]
@@ -69,6 +71,7 @@
             if clock::now().since(last_expiry_ms) > EXPIRY_PERIOD_MS {
                 last_expiry_ms = clock::now();
                 self.remove_expired_jobs(&leader).await;
+                self.remove_expired_cancellations(&leader).await;
             }
             tokio::time::sleep(pause_ms.to_duration()).await;
         }
@@ -222,27 +225,45 @@
         leader.roster_revision.get()
     }
 
+    /// Removes the cancellations of jobs that have not become known.
+    async fn remove_expired_cancellations(&self, leader: &Leader) {
+        let expired = leader.cell.borrow().expired_cancellations(clock::now());
+        for chunk in expired.chunks(MAX_EXPIRED_CANCELLATIONS) {
+            let removes = chunk.iter().map(keys::cancel).collect();
+            if !self.remove_keys(leader, removes).await {
+                event!("job.remove_failed", "cancellations" => chunk.len());
+                return;
+            }
+            leader.cell.borrow_mut().forget_cancellations(chunk);
+        }
+    }
+
+    /// Removes keys on condition that this process leads. Returns whether they are removed.
+    async fn remove_keys(&self, leader: &Leader, removes: Vec<String>) -> bool {
+        let transaction = Transaction {
+            expected: vec![(keys::LEADER.to_owned(), leader.revision)],
+            puts: Vec::new(),
+            removes,
+        };
+        let removed = self.store_result(self.ports.store.commit(&transaction).await);
+        matches!(removed, Ok(Commit::Done(_)))
+    }
+
     /// Removes ended jobs whose retention time has passed.
     async fn remove_expired_jobs(&self, leader: &Leader) {
-        let expired = leader.cell.borrow_mut().expired_jobs(clock::now());
+        let expired = leader.cell.borrow().expired_jobs(clock::now());
         for chunk in expired.chunks(MAX_EXPIRED_JOBS) {
-            let transaction = Transaction {
-                expected: vec![(keys::LEADER.to_owned(), leader.revision)],
-                puts: Vec::new(),
-                removes: chunk
-                    .iter()
-                    .flat_map(|id| [keys::job(id), keys::cancel(id), keys::progress(id)])
-                    .collect(),
-            };
+            let removes = chunk
+                .iter()
+                .flat_map(|id| [keys::job(id), keys::cancel(id), keys::progress(id)])
+                .collect();
             let _guard = leader.removing.lock().await;
-            let removed = self.store_result(self.ports.store.commit(&transaction).await);
-            if matches!(removed, Ok(Commit::Done(_))) {
-                leader.cell.borrow_mut().forget_jobs(chunk);
-            } else {
+            if !self.remove_keys(leader, removes).await {
                 // The next call removes the rest, also the jobs that may be gone.
                 event!("job.remove_failed", "jobs" => chunk.len());
                 return;
             }
+            leader.cell.borrow_mut().forget_jobs(chunk);
         }
     }
 }
--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -50,7 +50,7 @@
 pub enum CancelOutcome {
     /// The cancellation is stored, or the job has already ended.
     Stored,
-    /// There is no such job.
+    /// There is no such job. The cancellation is stored, in case that a submission is still carried out.
     NoJob,
     /// The cancellation may or may not be stored.
     Unknown,
@@ -270,6 +270,8 @@
     }
 
     /// Stores the cancellation of a job that has not ended, and logs on which grounds it was answered.
+    ///
+    /// That of an unknown job is stored, too: a submission without an answer may still be carried out.
     pub(crate) async fn store_cancel(&self, id: &JobId) -> CancelOutcome {
         let began_ms = clock::now();
         let found = self.status(id).await;
@@ -282,12 +284,12 @@
     }
 
     async fn store_cancel_of(&self, id: &JobId, found: JobLookup) -> CancelOutcome {
-        match found {
-            JobLookup::Unknown => return CancelOutcome::NoJob,
+        let outcome = match found {
             JobLookup::NoAnswer => return CancelOutcome::Unknown,
             JobLookup::Known(JobStatus::Ended(_)) => return CancelOutcome::Stored,
-            JobLookup::Known(_) => {}
-        }
+            JobLookup::Known(_) => CancelOutcome::Stored,
+            JobLookup::Unknown => CancelOutcome::NoJob,
+        };
         let Ok(value) = encode(&Cancellation { unix_ms: eventlog::unix_ms() }) else {
             return CancelOutcome::Unknown;
         };
@@ -299,7 +301,7 @@
         match self.commit_with_retry(&transaction).await {
             SubmitOutcome::Stored => {
                 self.notify_leader(Message::Cancelled(id.clone()));
-                CancelOutcome::Stored
+                outcome
             }
             SubmitOutcome::NotStored | SubmitOutcome::Unknown | SubmitOutcome::NoCapacity(_) => {
                 CancelOutcome::Unknown
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -16,6 +16,8 @@
 /// Longer than the store takes to answer a read, shorter than `SLOW_RANGE_MS`.
 const AFTER_ELECTION_MS: Millis = Millis(60);
 const SLOW_RANGE_MS: Millis = Millis(400);
+/// Longer than a cancellation takes.
+const LATE_WRITE_MS: Millis = Millis(900);
 /// Longer than ended jobs are kept in these tests, and the time between two removals.
 const EXPIRED_MS: Millis = Millis(17_000);
 
@@ -91,6 +93,48 @@
     });
 }
 
+/// Guards against a job that starts although its cancellation was answered: its store write got no answer,
+/// and was carried out after the cancellation had found no job.
+#[test]
+fn a_job_that_is_stored_after_its_cancellation_was_answered_does_not_start() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        start("leader", &environment);
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        let other = start("other", &environment);
+        let record = job(1);
+        let id = record.id.clone();
+        environment.late_writes_ms.set(Some(LATE_WRITE_MS));
+        let submission = tokio::task::spawn_local({
+            let other = other.clone();
+            async move { other.accept(record).await }
+        });
+        tokio::time::sleep(AFTER_ELECTION_MS.to_duration()).await;
+        environment.late_writes_ms.set(None);
+        assert_eq!(other.cancel(&id).await, CancelOutcome::NoJob);
+        let is_stored = || environment.value("in/job/0000000000000001").is_some();
+        assert!(within(is_stored).await, "the late write was not carried out");
+        submission.await.expect("a submission");
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 0, "the cancelled job was started");
+    });
+}
+
+/// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
+#[test]
+fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        let node = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        assert_eq!(node.cancel(&job(1).id).await, CancelOutcome::NoJob);
+        let is_stored = || environment.value("in/cancel/0000000000000001").is_some();
+        assert!(is_stored(), "a late submission would start");
+        assert!(within_ms(EXPIRED_MS, || !is_stored()).await, "the cancellation is kept for good");
+    });
+}
+
 /// Guards against a job that waits for the next watch, or longer: its notice came between the leader's
 /// read of the jobs and the end of its election, and was dropped.
 #[test]
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -52,6 +52,8 @@
     pub unanswered_polls: Cell<u32>,
     /// The store leaves all writes unanswered, and carries none of them out.
     pub writes_are_lost: Cell<bool>,
+    /// The store answers no write, and carries each out this much later if its condition holds then.
+    pub late_writes_ms: Cell<Option<Millis>>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
     /// Number of lease renewals still to be left unanswered for `RENEWAL_TIMEOUT_MS`.
@@ -288,6 +290,15 @@
             if self.0.writes_are_lost.get() {
                 return Err(StoreError::Unanswered);
             }
+            if let Some(late_ms) = self.0.late_writes_ms.get() {
+                let (environment, transaction) = (self.0.clone(), transaction.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(late_ms).await;
+                    // Nobody hears of a conflict.
+                    environment.commit(&transaction).ok();
+                });
+                return Err(StoreError::Unanswered);
+            }
             self.0.commit(transaction)
         })
     }
