The watch of stored jobs and cancellations keeps up with a busy store

Cause: the watch of the intake waited 500 ms after each answer, however full it was, while the store sends only some hundred changes in an answer. The watch of the workers had the same fault and its own remedy.

Evidence: the_leader_keeps_up_with_a_thousand_changes_a_second, with 200 changes an answer.

The next watch starts at once after an answer with 200 changes or more, for both lists. The cancellations that a new leader loads are counted like the others.

--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -21,8 +21,8 @@
 /// Delay between two watches of the workers: a draining worker must be noticed within 2 s.
 const WORKERS_PERIOD_MS: Millis = Millis(300);
 /// Changes in an answer from which on the next watch starts at once. The store sends at most some
-/// hundred changes in an answer, so that with a delay after each one the watch of a large fleet would
-/// fall behind for good.
+/// hundred changes in an answer, so that with a delay after each one a watch would fall behind for good
+/// in a large fleet, or while many jobs come and go.
 const BACKLOG_CHANGES: usize = 200;
 /// Delay after a failed watch.
 const RETRY_DELAY_MS: Millis = Millis(150);
@@ -32,7 +32,13 @@
 /// Load pattern: each worker writes its entry every 1.5 s, which counts as a change. 3,000 workers
 /// make 2,000 changes a second.
 pub fn next_workers_watch_delay_ms(changes: usize) -> Millis {
-    if changes >= BACKLOG_CHANGES { Millis(0) } else { WORKERS_PERIOD_MS }
+    next_watch_delay_ms(changes, WORKERS_PERIOD_MS)
+}
+
+/// Delay before the next watch, after an answer with a number of changes; `period_ms` if there is no
+/// backlog.
+fn next_watch_delay_ms(changes: usize, period_ms: Millis) -> Millis {
+    if changes >= BACKLOG_CHANGES { Millis(0) } else { period_ms }
 }
 
 /// A notice of a change of the intake.
@@ -69,17 +75,6 @@
     Some(Millis(eventlog::unix_ms().saturating_sub(stored.unix_ms)))
 }
 
-/// Logs that a leader has learned of a cancellation.
-pub(crate) fn log_cancellation(
-    leader: &Leader,
-    id: &JobId,
-    source: Source,
-    age_ms: Option<Millis>,
-) {
-    event!("leader.cancellation", "job" => id.as_str(), "source" => format!("{source:?}"),
-        "age_ms" => age_ms.map(|age| age.0), "epoch" => leader.epoch());
-}
-
 impl Node {
     /// Passes a notice to the cell, if this process leads. While it loads the stored state, notices
     /// wait: the change may be newer than what it has read.
@@ -120,16 +115,28 @@
     fn on_job_cancelled(&self, id: &JobId, source: Source, age_ms: Option<Millis>) {
         if let Some(leader) = self.loaded_term() {
             if leader.cell.borrow_mut().cancel_job(id, clock::now()) {
-                log_cancellation(&leader, id, source, age_ms);
-                self.metrics.count("cancellations_learned");
-                if let Some(age_ms) = age_ms {
-                    self.metrics.time_ms("cancellation_age_ms", age_ms.0);
-                }
+                self.record_cancellation(&leader, id, source, age_ms);
             }
             leader.changed.notify_one();
         }
     }
 
+    /// Logs and counts that the leader has learned of a cancellation.
+    pub(crate) fn record_cancellation(
+        &self,
+        leader: &Leader,
+        id: &JobId,
+        source: Source,
+        age_ms: Option<Millis>,
+    ) {
+        event!("leader.cancellation", "job" => id.as_str(), "source" => format!("{source:?}"),
+            "age_ms" => age_ms.map(|age| age.0), "epoch" => leader.epoch());
+        self.metrics.count("cancellations_learned");
+        if let Some(age_ms) = age_ms {
+            self.metrics.time_ms("cancellation_age_ms", age_ms.0);
+        }
+    }
+
     pub(crate) async fn watch_intake(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             let after = leader.intake_after.get();
@@ -142,7 +149,8 @@
                     self.metrics.add("intake_changes", changes.len() as u64);
                     leader.intake_heard_ms.set(clock::now());
                     leader.intake_after.set(at);
-                    tokio::time::sleep(INTAKE_PERIOD_MS.to_duration()).await;
+                    let delay_ms = next_watch_delay_ms(changes.len(), INTAKE_PERIOD_MS);
+                    tokio::time::sleep(delay_ms.to_duration()).await;
                 }
                 Err(StoreError::HistoryGone) => {
                     event!("store.history_gone", "prefix" => keys::INTAKE, "after" => after);
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -13,7 +13,7 @@
 
 use crate::capacity::CapacityForecast;
 use crate::codec::decode;
-use crate::intake::{Notice, Source, cancellation_age, log_cancellation};
+use crate::intake::{Notice, Source, cancellation_age};
 use crate::keys;
 use crate::load::LoadMeter;
 use crate::node::{LEADER_COOLDOWN_MS, Node};
@@ -338,7 +338,7 @@
         for item in &cancels {
             let Some(id) = cancelled_id(&item.key) else { continue };
             if cell.cancel_job(&id, now) {
-                log_cancellation(leader, &id, Source::Load, cancellation_age(item));
+                self.record_cancellation(leader, &id, Source::Load, cancellation_age(item));
             }
         }
         for report in workers {
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -16,6 +16,11 @@
 /// Longer than the store takes to answer a read, shorter than `SLOW_RANGE_MS`.
 const AFTER_ELECTION_MS: Millis = Millis(60);
 const SLOW_RANGE_MS: Millis = Millis(400);
+/// Changes that the store sends in an answer.
+const WATCH_CHANGES: usize = 200;
+const BUSY_MS: Millis = Millis(8_000);
+/// Time after an acknowledged cancellation from which on nothing of the job may start.
+const CANCEL_MS: Millis = Millis(3_000);
 /// Longer than a cancellation takes.
 const LATE_WRITE_MS: Millis = Millis(900);
 /// Longer than ended jobs are kept in these tests, and the time between two removals.
@@ -121,6 +126,30 @@
     });
 }
 
+/// Guards against a cancelled job that runs on: the leader heard of it only once it had caught up with the
+/// changes of a busy store.
+#[test]
+fn the_leader_keeps_up_with_a_thousand_changes_a_second() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.max_watch_changes.set(Some(WATCH_CHANGES));
+        let leader = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        let until = clock::now() + BUSY_MS;
+        let mut number = 0;
+        while clock::now() < until {
+            tokio::time::sleep(Millis(10).to_duration()).await;
+            for _ in 0..10 {
+                number += 1;
+                environment.put(&format!("in/cancel/{number:016x}"), Vec::new(), 0);
+            }
+        }
+        let learned = || leader.metrics.snapshot().get("cancellations_learned").copied();
+        let knows_all = || learned() == Some(number);
+        assert!(within_ms(CANCEL_MS, knows_all).await, "{:?} of {number} are known", learned());
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -64,6 +64,8 @@
     pub range_delay_ms: Cell<Millis>,
     /// Watches hear nothing.
     pub watches_are_silent: Cell<bool>,
+    /// Most changes in an answer to a watch.
+    pub max_watch_changes: Cell<Option<usize>>,
     /// Watches from before this revision fail, since the history is gone.
     pub compacted: Cell<u64>,
     /// All polls of workers fail.
@@ -269,13 +271,14 @@
                     continue;
                 }
                 let (items, at) = self.range(prefix).await?;
-                let newer: Vec<Change> = items
-                    .into_iter()
-                    .filter(|item| item.revision > after)
-                    .map(Change::Put)
-                    .collect();
+                let mut newer: Vec<Item> =
+                    items.into_iter().filter(|item| item.revision > after).collect();
+                newer.sort_by_key(|item| item.revision);
+                let limit = self.0.max_watch_changes.get().unwrap_or(usize::MAX);
+                let at = newer.get(limit.saturating_sub(1)).map_or(at, |last| last.revision);
+                newer.truncate(limit);
                 if !newer.is_empty() || clock::now() > until {
-                    return Ok((newer, at));
+                    return Ok((newer.into_iter().map(Change::Put).collect(), at));
                 }
             }
         })
