--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -52,6 +52,8 @@
     pub unanswered_polls: Cell<u32>,
     /// The store leaves all writes unanswered, and carries none of them out.
     pub writes_are_lost: Cell<bool>,
+    /// The store answers no write, and carries each out this much later if its condition holds then.
+    pub late_writes_ms: Cell<Option<Millis>>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
     /// Number of lease renewals still to be left unanswered for `RENEWAL_TIMEOUT_MS`.
@@ -62,6 +64,8 @@
     pub range_delay_ms: Cell<Millis>,
     /// Watches hear nothing.
     pub watches_are_silent: Cell<bool>,
+    /// Most changes in an answer to a watch.
+    pub max_watch_changes: Cell<Option<usize>>,
     /// Watches from before this revision fail, since the history is gone.
     pub compacted: Cell<u64>,
     /// All polls of workers fail.
@@ -267,13 +271,14 @@
                     continue;
                 }
                 let (items, at) = self.range(prefix).await?;
-                let newer: Vec<Change> = items
-                    .into_iter()
-                    .filter(|item| item.revision > after)
-                    .map(Change::Put)
-                    .collect();
+                let mut newer: Vec<Item> =
+                    items.into_iter().filter(|item| item.revision > after).collect();
+                newer.sort_by_key(|item| item.revision);
+                let limit = self.0.max_watch_changes.get().unwrap_or(usize::MAX);
+                let at = newer.get(limit.saturating_sub(1)).map_or(at, |last| last.revision);
+                newer.truncate(limit);
                 if !newer.is_empty() || clock::now() > until {
-                    return Ok((newer, at));
+                    return Ok((newer.into_iter().map(Change::Put).collect(), at));
                 }
             }
         })
@@ -288,6 +293,15 @@
             if self.0.writes_are_lost.get() {
                 return Err(StoreError::Unanswered);
             }
+            if let Some(late_ms) = self.0.late_writes_ms.get() {
+                let (environment, transaction) = (self.0.clone(), transaction.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(late_ms).await;
+                    // Nobody hears of a conflict.
+                    environment.commit(&transaction).ok();
+                });
+                return Err(StoreError::Unanswered);
+            }
             self.0.commit(transaction)
         })
     }
