A leader does not start what may be cancelled

Cause: the notice of a cancellation may be lost, or go to the former leader, and nothing bounded the age of what the watch of the intake had brought. A watch without an answer takes 2.4 s, two in a row 5 s, and a list that fails after a loss of history is tried again for as long as it fails. The leader renewed its lease meanwhile, and started all it knew.

Ruled out: a bound on the time since the news alone, which would make a leader rest in an outage of the store; a_leader_goes_on_with_its_work_while_the_store_is_down holds before and after.

Starts are held, as for evacuations, while the leader has its lease and the store answers it, but its news of the intake are over 2.3 s older than the store's last answer. So that usual losses don't lead there, a watch waits for 1 s instead of 1.5 s, and is hedged after 250 ms more. The age counts from the last answer that was not full.

--- a/components/cluster/src/evacuations.rs
+++ b/components/cluster/src/evacuations.rs
@@ -88,18 +88,18 @@
         }
     }
 
-    /// Holds starts while the store renews the leader's lease, but the requests could not be read for so
-    /// long that a start could come too late. Without the store the leader goes on with the requests
-    /// that it knows, as with all other work.
-    pub(crate) fn update_held_starts(&self, leader: &Leader) {
-        let Some(bound_ms) = self.settings.evacuation_ms else { return };
+    /// Whether the store renews the leader's lease, but the requests could not be read for so long that a
+    /// start could come too late. Without the store the leader goes on with the requests that it knows, as
+    /// with all other work.
+    pub(crate) fn evacuations_overdue(&self, leader: &Leader) -> bool {
+        let Some(bound_ms) = self.settings.evacuation_ms else { return false };
         let age_ms = clock::now().since(leader.evacuations_read_ms.get());
-        let holds = self.holds_lease(leader) && age_ms > max_age_ms(bound_ms);
-        if leader.holds_starts.replace(holds) != holds {
-            event!("leader.evacuations_overdue", "epoch" => leader.epoch(), "overdue" => holds,
-                "age_ms" => age_ms.0);
+        let is_overdue = self.holds_lease(leader) && age_ms > max_age_ms(bound_ms);
+        if leader.evacuations_are_overdue.replace(is_overdue) != is_overdue {
+            event!("leader.evacuations_overdue", "epoch" => leader.epoch(),
+                "overdue" => is_overdue, "age_ms" => age_ms.0);
         }
-        leader.cell.borrow_mut().hold_starts(holds);
+        is_overdue
     }
 }
 
--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -12,10 +12,22 @@
 use crate::keys;
 use crate::leader::{Leader, cancelled_id, read};
 use crate::node::Node;
-use crate::ports::{Change, Item, StoreError, WorkerChange};
+use crate::ports::{Change, Item, StoreError, StoreResult, WorkerChange};
 
-/// Longest time that one watch call waits for changes.
-const WATCH_TIMEOUT_MS: Millis = Millis(1_500);
+/// Longest time that one watch of the workers waits for changes.
+const WORKERS_WAIT_MS: Millis = Millis(1_500);
+/// Longest time that one watch of the intake waits for changes. With the delay between two watches and a
+/// hedge it stays below [`MAX_NEWS_AGE_MS`].
+const INTAKE_WAIT_MS: Millis = Millis(1_000);
+/// A watch of the intake that is unanswered this long after its wait time is hedged by one that does not
+/// wait: usual calls take some milliseconds, and a lost answer is noticed only after 900 ms.
+const HEDGE_DELAY_MS: Millis = Millis(250);
+/// Time from an acknowledged cancellation after which nothing of the job may start.
+const CANCEL_MS: Millis = Millis(3_000);
+/// Time for a scheduling round and until the store's next answer, which shows that it can be reached.
+const LAST_ORDER_MARGIN_MS: Millis = Millis(700);
+/// Age of the news of cancellations up to which starts may be ordered.
+const MAX_NEWS_AGE_MS: Millis = Millis(CANCEL_MS.0 - LAST_ORDER_MARGIN_MS.0);
 /// Delay between two watches of the intake, which only serves as a fallback for lost messages.
 const INTAKE_PERIOD_MS: Millis = Millis(500);
 /// Delay between two watches of the workers: a draining worker must be noticed within 2 s.
@@ -140,15 +152,19 @@
     pub(crate) async fn watch_intake(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             let after = leader.intake_after.get();
-            let watched = self.ports.store.watch(keys::INTAKE, after, WATCH_TIMEOUT_MS).await;
+            let watched = self.watch_intake_hedged(after).await;
             match self.store_result(watched) {
                 Ok((changes, at)) => {
                     for change in &changes {
                         self.apply_intake_change(change, Source::Watch);
                     }
                     self.metrics.add("intake_changes", changes.len() as u64);
-                    leader.intake_heard_ms.set(clock::now());
+                    // A full answer does not reach up to the present.
+                    if changes.len() < BACKLOG_CHANGES {
+                        leader.intake_heard_ms.set(clock::now());
+                    }
                     leader.intake_after.set(at);
+                    leader.changed.notify_one();
                     let delay_ms = next_watch_delay_ms(changes.len(), INTAKE_PERIOD_MS);
                     tokio::time::sleep(delay_ms.to_duration()).await;
                 }
@@ -162,6 +178,36 @@
         }
     }
 
+    /// Waits for changes after a revision, with a second call if the answer is late. The first answer
+    /// counts.
+    async fn watch_intake_hedged(&self, after: u64) -> StoreResult<(Vec<Change>, u64)> {
+        let store = &self.ports.store;
+        let mut watch = store.watch(keys::INTAKE, after, INTAKE_WAIT_MS);
+        let late = tokio::time::sleep((INTAKE_WAIT_MS + HEDGE_DELAY_MS).to_duration());
+        tokio::select! {
+            watched = &mut watch => return watched,
+            () = late => {}
+        }
+        self.metrics.count("intake_watches_hedged");
+        tokio::select! {
+            watched = &mut watch => watched,
+            watched = store.watch(keys::INTAKE, after, Millis(0)) => watched,
+        }
+    }
+
+    /// Whether the store answers this process, but the stored cancellations could not be read for so
+    /// long that a start could come too late. In an outage of the store the leader goes on with the
+    /// work that it knows.
+    pub(crate) fn intake_overdue(&self, leader: &Leader) -> bool {
+        let age_ms = self.store_answered_ms.get().since(leader.intake_heard_ms.get());
+        let is_overdue = self.holds_lease(leader) && age_ms > MAX_NEWS_AGE_MS;
+        if leader.intake_is_overdue.replace(is_overdue) != is_overdue {
+            event!("leader.intake_overdue", "epoch" => leader.epoch(), "overdue" => is_overdue,
+                "age_ms" => age_ms.0);
+        }
+        is_overdue
+    }
+
     async fn list_intake(&self, leader: &Leader) {
         let _guard = leader.removing.lock().await;
         let sent_ms = clock::now();
@@ -194,7 +240,7 @@
     pub(crate) async fn watch_workers(self: Rc<Self>, leader: Rc<Leader>) {
         loop {
             let after = leader.workers_after.get();
-            let changes = self.ports.directory.changes(after, WATCH_TIMEOUT_MS).await;
+            let changes = self.ports.directory.changes(after, WORKERS_WAIT_MS).await;
             match self.store_result(changes) {
                 Ok((changes, at)) => {
                     let delay_ms = next_workers_watch_delay_ms(changes.len());
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -77,7 +77,9 @@
     /// Send time of the last call that read these requests.
     pub(crate) evacuations_read_ms: StdCell<Millis>,
     /// Starts are held, since these requests could not be read.
-    pub(crate) holds_starts: StdCell<bool>,
+    pub(crate) evacuations_are_overdue: StdCell<bool>,
+    /// Starts are held, since the intake could not be read.
+    pub(crate) intake_is_overdue: StdCell<bool>,
     pub(crate) batch_revision: StdCell<u64>,
     /// Revision of the stored roster; `None` if unknown.
     pub(crate) roster_revision: StdCell<Option<u64>>,
@@ -126,7 +128,8 @@
             workers_after: StdCell::new(0),
             evacuations_after: StdCell::new(0),
             evacuations_read_ms: StdCell::default(),
-            holds_starts: StdCell::default(),
+            evacuations_are_overdue: StdCell::default(),
+            intake_is_overdue: StdCell::default(),
             batch_revision: StdCell::new(0),
             roster_revision: StdCell::new(None),
             hedge_budget: RefCell::default(),
@@ -303,6 +306,12 @@
         cell.set_start_permission(permission);
     }
 
+    /// Holds starts while the leader may not know what must not start.
+    fn update_held_starts(&self, leader: &Leader) {
+        let (evacuations, intake) = (self.evacuations_overdue(leader), self.intake_overdue(leader));
+        leader.cell.borrow_mut().hold_starts(evacuations || intake);
+    }
+
     async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
         let store = &self.ports.store;
         let sent_ms = clock::now();
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -6,7 +6,8 @@
 
 use cluster::{CancelOutcome, Node, SubmitOutcome};
 use libs::tokio;
-use support::{Environment, job, node, run};
+use support::{Environment, address, job, node, node_with_lease, ports, run};
+use tokio::net::TcpListener;
 use types::Millis;
 
 /// Some hundred times the duration of a start and an election.
@@ -16,6 +17,10 @@
 /// Longer than the store takes to answer a read, shorter than `SLOW_RANGE_MS`.
 const AFTER_ELECTION_MS: Millis = Millis(60);
 const SLOW_RANGE_MS: Millis = Millis(400);
+/// Tasks of a job that lasts longer than its test.
+const MANY_TASKS: u32 = 1_000;
+/// Duration of a leader's lease.
+const LEASE_MS: Millis = Millis(1_200);
 /// Changes that the store sends in an answer.
 const WATCH_CHANGES: usize = 200;
 const BUSY_MS: Millis = Millis(8_000);
@@ -42,7 +47,10 @@
 }
 
 fn start(name: &str, environment: &Rc<Environment>) -> Rc<Node> {
-    let node = node(name, environment);
+    run_node(node(name, environment))
+}
+
+fn run_node(node: Rc<Node>) -> Rc<Node> {
     let token = clock::CancellationToken::new;
     tokio::task::spawn_local(node.clone().run(token(), token()));
     node
@@ -150,6 +158,96 @@
     });
 }
 
+/// Starts a process that its peers can reach.
+async fn start_served(name: &str, environment: &Rc<Environment>) -> Rc<Node> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let own_address = listener.local_addr().expect("its address");
+    let ports = ports(environment, &Rc::default());
+    let node = node_with_lease(name, own_address, ports, LEASE_MS);
+    let served = node.clone();
+    let handler = move |request| served.clone().serve_peer(request);
+    tokio::task::spawn_local(web::serve(listener, handler, clock::CancellationToken::new()));
+    run_node(node)
+}
+
+/// Guards against a service that rests while the store is down: the leader held its work, since it heard of
+/// no cancellations.
+#[test]
+fn a_leader_goes_on_with_its_work_while_the_store_is_down() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        let leader = start_served("leader", &environment).await;
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        start_served("other", &environment).await;
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        let mut record = job(1);
+        record.spec.steps[0].tasks = MANY_TASKS;
+        assert_eq!(leader.accept(record).await, SubmitOutcome::Stored);
+        assert!(within(|| environment.starts.get() > 0).await, "the job did not start");
+        environment.store_is_down.set(true);
+        tokio::time::sleep(CANCEL_MS.to_duration()).await;
+        let before = environment.starts.get();
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert!(environment.starts.get() > before, "{before} starts, and no further one");
+    });
+}
+
+/// A leader that knows a waiting job, and that its cancellation was acknowledged by another process. No
+/// worker has room for it yet.
+async fn start_with_cancelled_job(environment: &Rc<Environment>, fault: impl AsyncFnOnce()) {
+    let node = |name| {
+        let ports = ports(environment, &Rc::default());
+        run_node(node_with_lease(name, address(), ports, LEASE_MS))
+    };
+    let leader = node("leader");
+    assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+    assert_eq!(leader.accept(job(1)).await, SubmitOutcome::Stored);
+    assert_eq!(leader.accept(job(2)).await, SubmitOutcome::Stored);
+    let other = node("other");
+    fault().await;
+    assert_eq!(other.cancel(&job(1).id).await, CancelOutcome::Stored);
+    tokio::time::sleep(CANCEL_MS.to_duration()).await;
+    environment.add_worker("only");
+}
+
+/// Guards against a cancelled job that starts: its notice was lost, and so were the answers to two watches.
+#[test]
+fn a_cancelled_job_does_not_start_while_watches_get_no_answer() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        start_with_cancelled_job(&environment, async || {
+            environment.unanswered_watches.set(2);
+            assert!(within(|| environment.unanswered_watches.get() < 2).await, "no watch");
+        })
+        .await;
+        assert!(within(|| environment.starts.get() > 0).await, "no job was started");
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 1, "the cancelled job was started");
+    });
+}
+
+/// Guards against a cancelled job that starts: its notice was lost, and the leader can renew its lease, but
+/// not read the cancellations after a loss of history.
+#[test]
+fn a_cancelled_job_does_not_start_while_the_store_cannot_be_read() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        start_with_cancelled_job(&environment, async || {
+            environment.ranges_fail.set(true);
+            environment.compact();
+        })
+        .await;
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 0, "a job may have been started that is cancelled");
+        assert!(environment.lease_renewals.get() > 0, "leases are not renewed");
+        environment.ranges_fail.set(false);
+        assert!(within(|| environment.starts.get() > 0).await, "no job was started");
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(environment.starts.get(), 1, "the cancelled job was started");
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -27,8 +27,8 @@
 /// Duration of a call to a worker.
 const WORKER_CALL_MS: Millis = Millis(3);
 
-/// Time after which an unanswered renewal of a lease is given up.
-const RENEWAL_TIMEOUT_MS: Millis = Millis(900);
+/// Time after which an unanswered call to the store is given up.
+const CALL_TIMEOUT_MS: Millis = Millis(900);
 /// Duration of an unanswered call, longer than any test.
 const UNANSWERED_CALL_MS: Millis = Millis(20_000);
 /// Share of a core of a large process.
@@ -36,6 +36,9 @@
 /// Longer than any test, so that no leader's lease expires.
 const LEADER_LEASE_MS: Millis = Millis(20_000);
 
+/// Prefix of the jobs in the store.
+const JOBS: &str = "in/job/";
+
 /// A stored item and its lease, 0 for none.
 type StoredItem = (Item, u64);
 
@@ -56,12 +59,16 @@
     pub late_writes_ms: Cell<Option<Millis>>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
-    /// Number of lease renewals still to be left unanswered for `RENEWAL_TIMEOUT_MS`.
+    /// Number of lease renewals still to be left unanswered for `CALL_TIMEOUT_MS`.
     pub unanswered_renewals: Cell<u32>,
     /// Reads of several items fail, as on a link that loses long answers.
     pub ranges_fail: Cell<bool>,
     /// Answers to reads of several items take this much longer, and show the items of before.
     pub range_delay_ms: Cell<Millis>,
+    /// Reads of all jobs take this much longer, as of many pages.
+    pub job_range_delay_ms: Cell<Millis>,
+    /// Number of watches still to be left unanswered until the call times out.
+    pub unanswered_watches: Cell<u32>,
     /// Watches hear nothing.
     pub watches_are_silent: Cell<bool>,
     /// Most changes in an answer to a watch.
@@ -168,6 +175,11 @@
         revision
     }
 
+    fn items_below(&self, prefix: &str) -> Vec<Item> {
+        let is_found = |(item, _): &&StoredItem| item.key.starts_with(prefix);
+        self.items.borrow().values().filter(is_found).map(|(item, _)| item.clone()).collect()
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -243,13 +255,12 @@
             if self.0.ranges_fail.get() {
                 return Err(StoreError::Unanswered);
             }
-            let is_found = |(item, _): &&StoredItem| item.key.starts_with(prefix);
-            let found: Vec<Item> = {
-                let items = self.0.items.borrow();
-                items.values().filter(is_found).map(|(item, _)| item.clone()).collect()
-            };
+            let found = self.0.items_below(prefix);
             let revision = self.0.revision.get();
             sleep(self.0.range_delay_ms.get()).await;
+            if JOBS.starts_with(prefix) {
+                sleep(self.0.job_range_delay_ms.get()).await;
+            }
             Ok((found, revision))
         })
     }
@@ -261,6 +272,12 @@
         wait_ms: Millis,
     ) -> LocalBoxFuture<'a, StoreResult<(Vec<Change>, u64)>> {
         Box::pin(async move {
+            let lost = self.0.unanswered_watches.get();
+            if lost > 0 {
+                self.0.unanswered_watches.set(lost - 1);
+                sleep(wait_ms + CALL_TIMEOUT_MS).await;
+                return Err(StoreError::Unanswered);
+            }
             let until = clock::now() + wait_ms;
             loop {
                 sleep(STORE_CALL_MS).await;
@@ -270,9 +287,13 @@
                 if self.0.watches_are_silent.get() {
                     continue;
                 }
-                let (items, at) = self.range(prefix).await?;
-                let mut newer: Vec<Item> =
-                    items.into_iter().filter(|item| item.revision > after).collect();
+                self.store_call().await?;
+                if self.0.ranges_fail.get() {
+                    return Err(StoreError::Unanswered);
+                }
+                let at = self.0.revision.get();
+                let mut newer: Vec<Item> = self.0.items_below(prefix);
+                newer.retain(|item| item.revision > after);
                 newer.sort_by_key(|item| item.revision);
                 let limit = self.0.max_watch_changes.get().unwrap_or(usize::MAX);
                 let at = newer.get(limit.saturating_sub(1)).map_or(at, |last| last.revision);
@@ -319,7 +340,7 @@
             let lost = self.0.unanswered_renewals.get();
             if lost > 0 {
                 self.0.unanswered_renewals.set(lost - 1);
-                sleep(RENEWAL_TIMEOUT_MS).await;
+                sleep(CALL_TIMEOUT_MS).await;
                 return Err(StoreError::Unanswered);
             }
             self.0.remove_expired();
