--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -124,7 +124,8 @@
             // may take for one of its own, up to the longest lease.
             worker.lease_deadline_ms = answer.clock_ms + max_lease_ms;
         }
-        let newly_attached = !worker.attached;
+        // A task whose end the answer does not show may be done.
+        let newly_attached = !worker.attached && !answer.more_ended;
         for end in &answer.ended {
             self.run_ended(id, end, now);
         }
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -295,3 +295,30 @@
     }
     assert_eq!(starts(&mut first.cell, Millis(100)).len(), 1, "only the other worker may start");
 }
+
+/// Guards against a start of a task that was done: an answer shows at most 500 ends, and that of the task
+/// was not among them.
+#[test]
+fn a_worker_with_more_ends_than_an_answer_shows_holds_its_tasks_back() {
+    let first = first_term();
+    let (task, attempt, worker) = first.runs[0].clone();
+    let mut next = first.next(&[], Vec::new());
+    let end = |sequence, task: &TaskKey| cell::EndedRun {
+        sequence,
+        task: task.clone(),
+        attempt,
+        ending: cell::Ending::Done,
+        checkpoint: Default::default(),
+    };
+    let earlier = end(1, &simulation::task("00000000000000d1", 0, 0));
+    let page = PollAnswer { ended: vec![earlier], more_ended: true, ..answer(Vec::new()) };
+    next.poll_answered(&worker, ELECTED_MS + Millis(10), &page, ELECTED_MS + Millis(15));
+    assert!(starts(&mut next, ELECTED_MS + Millis(20)).is_empty());
+    let last = PollAnswer { ended: vec![end(2, &task)], ..answer(Vec::new()) };
+    next.poll_answered(&worker, ELECTED_MS + Millis(30), &last, ELECTED_MS + Millis(35));
+    assert!(starts(&mut next, ELECTED_MS + Millis(40)).is_empty());
+    let more = one_task_job("00000000000000a3", "large", 12);
+    next.add_job(more, ELECTED_MS + Millis(50));
+    let orders = starts(&mut next, ELECTED_MS + Millis(60));
+    assert_eq!(jobs_of(&orders), ["00000000000000a3"], "all ends are known");
+}
