--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -54,7 +54,12 @@
 
     /// Whether all changes of a job are stored.
     pub(crate) fn is_stored(&self, id: &JobId) -> bool {
-        !self.contains(id) && !self.in_flight.contains(id)
+        !self.contains(id) && !self.is_in_flight(id)
+    }
+
+    /// Whether a batch that holds the job is being stored.
+    pub(crate) fn is_in_flight(&self, id: &JobId) -> bool {
+        self.in_flight.contains(id)
     }
 
     pub(crate) fn contains(&self, id: &JobId) -> bool {
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -46,6 +46,11 @@
             _ => self.withdraw_loss(&end.task, end.attempt),
         }
         self.apply_end_to_task(id, end, now);
+        // An end that changes nothing may still need what a batch on its way holds, such as the end of
+        // another member of the gang. The batch may fail, so the job is stored again.
+        if self.dirty.is_in_flight(&end.task.step.job) {
+            self.dirty.mark(&end.task.step.job);
+        }
         if self.dirty.contains(&end.task.step.job)
             && let Some(worker) = self.workers.get_mut(id)
         {
--- a/components/cell/tests/batches.rs
+++ b/components/cell/tests/batches.rs
@@ -170,3 +170,26 @@
         cell.batch_stored(&batch);
     }
 }
+
+/// Guards against a gang that starts again after it was done: the end of its second member was forgotten,
+/// while the batch that held the end of the first one was on its way and failed with the leader.
+#[test]
+fn the_end_of_a_gang_member_is_not_acknowledged_before_the_gang_is_stored_as_done() {
+    let mut cell = Cell::new(settings(), 1, 1_700_000_000_000);
+    cell.set_policy(policy().into());
+    let step = StepSpec { tasks: 2, gang: true, estimate_ms: Millis(100), ..StepSpec::default() };
+    cell.add_job(job("00000000000000aa", "batch", "large", vec![step]), NOW);
+    for name in ["w0", "w1"] {
+        cell.worker_listed(worker(name), NOW);
+    }
+    let ack = |cell: &mut Cell, name| cell.poll_order(&id(name), false, NOW).expect("known").ack;
+    cell.poll_answered(&id("w0"), NOW, &poll_answer(vec![ended(1, 0, 1, Ending::Done)]), NOW);
+    let first = cell.take_batch(10).expect("a change to store");
+    cell.poll_answered(&id("w1"), NOW, &poll_answer(vec![ended(1, 1, 1, Ending::Done)]), NOW);
+    assert_eq!((ack(&mut cell, "w0"), ack(&mut cell, "w1")), (0, 0), "the batch is on its way");
+    cell.batch_failed(&first);
+    assert_eq!((ack(&mut cell, "w0"), ack(&mut cell, "w1")), (0, 0), "the batch has failed");
+    let second = cell.take_batch(10).expect("a change to store");
+    cell.batch_stored(&second);
+    assert_eq!((ack(&mut cell, "w0"), ack(&mut cell, "w1")), (1, 1));
+}
