The bound on news of cancellations is the deployment's

The leader held its starts by a constant of 3 s, where deployments promise 3 to 5 s after an acknowledged cancellation. A bound that is shorter than the usual age of the news counts as that age, so that starts are not held all the time.

--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -17,17 +17,16 @@
 /// Longest time that one watch of the workers waits for changes.
 const WORKERS_WAIT_MS: Millis = Millis(1_500);
 /// Longest time that one watch of the intake waits for changes. With the delay between two watches and a
-/// hedge it stays below [`MAX_NEWS_AGE_MS`].
+/// hedge it stays below [`USUAL_NEWS_AGE_MS`].
 const INTAKE_WAIT_MS: Millis = Millis(1_000);
 /// A watch of the intake that is unanswered this long after its wait time is hedged by one that does not
 /// wait: usual calls take some milliseconds, and a lost answer is noticed only after 900 ms.
 const HEDGE_DELAY_MS: Millis = Millis(250);
-/// Time from an acknowledged cancellation after which nothing of the job may start.
-const CANCEL_MS: Millis = Millis(3_000);
 /// Time for a scheduling round and until the store's next answer, which shows that it can be reached.
 const LAST_ORDER_MARGIN_MS: Millis = Millis(700);
-/// Age of the news of cancellations up to which starts may be ordered.
-const MAX_NEWS_AGE_MS: Millis = Millis(CANCEL_MS.0 - LAST_ORDER_MARGIN_MS.0);
+/// Age of the news of cancellations that is usual: the delay between two watches, a watch without
+/// changes, and its hedge.
+const USUAL_NEWS_AGE_MS: Millis = Millis(2_000);
 /// Delay between two watches of the intake, which only serves as a fallback for lost messages.
 const INTAKE_PERIOD_MS: Millis = Millis(500);
 /// Delay between two watches of the workers: a draining worker must be noticed within 2 s.
@@ -61,6 +60,11 @@
     Cancelled(JobId),
 }
 
+/// Age of the news of cancellations up to which starts may be ordered.
+fn max_news_age_ms(cancel_ms: Millis) -> Millis {
+    (cancel_ms - LAST_ORDER_MARGIN_MS).max(USUAL_NEWS_AGE_MS)
+}
+
 /// How a leader learned of a change of the intake.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Source {
@@ -200,7 +204,8 @@
     /// work that it knows.
     pub(crate) fn intake_overdue(&self, leader: &Leader) -> bool {
         let age_ms = self.store_answered_ms.get().since(leader.intake_heard_ms.get());
-        let is_overdue = self.holds_lease(leader) && age_ms > MAX_NEWS_AGE_MS;
+        let is_overdue =
+            self.holds_lease(leader) && age_ms > max_news_age_ms(self.settings.cancel_ms);
         if leader.intake_is_overdue.replace(is_overdue) != is_overdue {
             event!("leader.intake_overdue", "epoch" => leader.epoch(), "overdue" => is_overdue,
                 "age_ms" => age_ms.0);
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -72,6 +72,8 @@
     /// Time from a request to evacuate a failure domain after which nothing may start there; none if
     /// the deployment has no evacuations.
     pub evacuation_ms: Option<Millis>,
+    /// Time from an acknowledged cancellation after which nothing of the job may start.
+    pub cancel_ms: Millis,
     /// Whether jobs that cannot be done while they are of use are refused.
     pub admission: bool,
     /// Settings of the cell.
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -653,6 +653,7 @@
         cpu_milli: LARGE_CPU_MILLI,
         leader_lease_ms,
         evacuation_ms: None,
+        cancel_ms: Millis(3_000),
         admission: false,
         cell: CellSettings {
             lease_ms: Millis(4_500),
