The time for which a cancellation is kept does not begin anew with each leader

A leader counts from the time that the stored cancellation holds; those of earlier versions hold none, and count from when the leader learned of them. Test: the_time_for_which_a_cancellation_is_kept_does_not_begin_anew_with_a_leader.

--- a/components/cell/src/batch.rs
+++ b/components/cell/src/batch.rs
@@ -155,10 +155,10 @@
 
     /// Jobs whose cancellation was kept for as long as an ended job, and which have not become known.
     pub fn expired_cancellations(&self, now: Millis) -> Vec<JobId> {
-        let keep = self.retention_ms();
-        let expired =
-            self.early_cancels.iter().filter(|(_, known_ms)| now.since(**known_ms) > keep);
-        expired.map(|(id, _)| id.clone()).collect()
+        let stored_before_unix_ms = self.unix_ms(now).saturating_sub(self.retention_ms().0);
+        let is_expired =
+            |(_, stored_unix_ms): &(&JobId, &u64)| **stored_unix_ms < stored_before_unix_ms;
+        self.early_cancels.iter().filter(is_expired).map(|(id, _)| id.clone()).collect()
     }
 
     fn retention_ms(&self) -> Millis {
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -60,8 +60,9 @@
     /// A configuration was set. Until then the limits of teams are not known.
     pub(crate) policy_known: bool,
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    /// Jobs whose cancellation became known before they did, and when.
-    pub(crate) early_cancels: BTreeMap<JobId, Millis>,
+    /// Jobs whose cancellation became known before they did, and the Unix milliseconds at which it was
+    /// stored: leaders may change more often than cancellations expire.
+    pub(crate) early_cancels: BTreeMap<JobId, u64>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) used_by_team: BTreeMap<TeamId, Resources>,
     pub(crate) callers: Callers,
@@ -280,7 +281,7 @@
         self.forecast_job(&id, now);
         self.needs_scheduling = true;
         if self.early_cancels.remove(&id).is_some() {
-            self.cancel_job(&id, now);
+            self.cancel_job(&id, Millis(0), now);
         }
     }
 
@@ -293,15 +294,16 @@
     }
 
     /// Ends a job whose cancellation was stored. A job that is not known yet ends once it is: the
-    /// store may list cancellations first, and notices of other processes may be lost. Returns
-    /// whether the cancellation was new.
-    pub fn cancel_job(&mut self, id: &JobId, now: Millis) -> bool {
+    /// store may list cancellations first, and notices of other processes may be lost. `age_ms` is the
+    /// time since it was stored. Returns whether the cancellation was new.
+    pub fn cancel_job(&mut self, id: &JobId, age_ms: Millis, now: Millis) -> bool {
         let Some(job) = self.jobs.get(id) else {
             if self.early_cancels.contains_key(id) {
                 return false;
             }
             event!("job.cancelled_early", "job" => id.as_str());
-            self.early_cancels.insert(id.clone(), now);
+            let stored_unix_ms = self.unix_ms(now).saturating_sub(age_ms.0);
+            self.early_cancels.insert(id.clone(), stored_unix_ms);
             return true;
         };
         if job.ended.is_some() {
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -206,7 +206,7 @@
         match change {
             IntakeChange::Accepted(record) => self.cell.add_job(*record, now),
             IntakeChange::Cancelled(id) => {
-                self.cell.cancel_job(&id, now);
+                self.cell.cancel_job(&id, Millis(0), now);
                 self.cancels.insert(id);
             }
         }
@@ -592,7 +592,7 @@
             cell.restore(record.clone(), self.stored_progress.get(&record.id), self.now);
         }
         for id in &self.stored_cancels {
-            cell.cancel_job(id, self.now);
+            cell.cancel_job(id, Millis(0), self.now);
         }
         for worker in self.workers.values().filter(|worker| worker.listed(self.now)) {
             cell.worker_listed(worker.report(), self.now);
--- a/components/cell/tests/unknown_jobs.rs
+++ b/components/cell/tests/unknown_jobs.rs
@@ -86,7 +86,7 @@
     lasting.spec.steps[0].long_running = true;
     for record in [lasting, record("00000000000000a2")] {
         let id = record.id.clone();
-        cell.cancel_job(&id, NOW);
+        cell.cancel_job(&id, Millis(0), NOW);
         cell.add_job(record, NOW + Millis(1_000));
         let cancelled = JobStatus::Ended(FinalState::Cancelled);
         assert_eq!(cell.status(&id), Some(cancelled), "as callers see it");
@@ -100,7 +100,7 @@
 fn the_cancellation_of_a_job_that_stays_unknown_is_forgotten() {
     let mut cell = cell();
     let id = JOB.parse().expect("job id");
-    cell.cancel_job(&id, NOW);
+    cell.cancel_job(&id, Millis(0), NOW);
     let expired = cell.expired_cancellations(NOW + Millis(200_000));
     assert_eq!(expired, [id]);
     cell.forget_cancellations(&expired);
@@ -109,6 +109,15 @@
     assert_eq!(starts(&mut cell, NOW + Millis(200_020)).len(), 1);
 }
 
+/// Guards against a store that fills up while leaders change: each counted the time of a cancellation anew.
+#[test]
+fn the_time_for_which_a_cancellation_is_kept_does_not_begin_anew_with_a_leader() {
+    let mut cell = cell();
+    let id = JOB.parse().expect("job id");
+    cell.cancel_job(&id, Millis(200_000), NOW);
+    assert_eq!(cell.expired_cancellations(NOW + Millis(10)), [id]);
+}
+
 /// Guards against two runs of a task: its job became known while a run of it was being stopped.
 #[test]
 fn a_task_waits_for_the_end_of_a_run_that_was_found_before_its_job_was_known() {
--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -130,7 +130,7 @@
 
     fn on_job_cancelled(&self, id: &JobId, source: Source, age_ms: Option<Millis>) {
         if let Some(leader) = self.loaded_term() {
-            if leader.cell.borrow_mut().cancel_job(id, clock::now()) {
+            if leader.cell.borrow_mut().cancel_job(id, age_ms.unwrap_or_default(), clock::now()) {
                 self.record_cancellation(&leader, id, source, age_ms);
             }
             leader.changed.notify_one();
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -346,8 +346,9 @@
         }
         for item in &cancels {
             let Some(id) = cancelled_id(&item.key) else { continue };
-            if cell.cancel_job(&id, now) {
-                self.record_cancellation(leader, &id, Source::Load, cancellation_age(item));
+            let age_ms = cancellation_age(item);
+            if cell.cancel_job(&id, age_ms.unwrap_or_default(), now) {
+                self.record_cancellation(leader, &id, Source::Load, age_ms);
             }
         }
         for report in workers {
