A cancellation is kept while its job is stored

The removal now has the condition that the job is not stored. Removals, also those of ended jobs, run beside the storing of progress, which waited for them before: one transaction for each 15 cancellations or 9 jobs. Test: the_cancellation_of_a_stored_job_is_kept_until_the_leader_knows_the_job.

--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -209,6 +209,7 @@
                 self.clone().watch_workers(leader.clone()),
                 self.clone().watch_evacuations(leader.clone()),
                 self.clone().store_loop(leader.clone()),
+                self.clone().remove_expired(leader.clone()),
                 self.clone().tick_cell(leader.clone()),
                 self.clone().place_tasks(leader.clone()),
                 self.clone().keep_run_times(leader.clone()),
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -26,8 +26,8 @@
 const EXPIRY_PERIOD_MS: Millis = Millis(5_000);
 /// Jobs removed in one transaction: each has three keys.
 const MAX_EXPIRED_JOBS: usize = 9;
-/// Cancellations removed in one transaction.
-const MAX_EXPIRED_CANCELLATIONS: usize = 28;
+/// Cancellations removed in one transaction: each has a condition and a key.
+const MAX_EXPIRED_CANCELLATIONS: usize = 15;
 
 /// Outcome of storing a batch.
 #[derive(Clone, Copy)]
@@ -43,8 +43,7 @@
 impl Node {
     pub(crate) async fn store_loop(self: Rc<Self>, leader: Rc<Leader>) {
         let mut roster = Vec::new();
-        let mut last_expiry_ms = clock::now();
-        let mut next_roster_ms = last_expiry_ms;
+        let mut next_roster_ms = clock::now();
         loop {
             leader.store_requested.notified().await;
             match self.store_next_batch(&leader).await {
@@ -68,11 +67,6 @@
                 let period_ms = Millis(workers * ROSTER_PERIOD_US_PER_WORKER / 1_000);
                 next_roster_ms = clock::now() + period_ms;
             }
-            if clock::now().since(last_expiry_ms) > EXPIRY_PERIOD_MS {
-                last_expiry_ms = clock::now();
-                self.remove_expired_jobs(&leader).await;
-                self.remove_expired_cancellations(&leader).await;
-            }
             tokio::time::sleep(pause_ms.to_duration()).await;
         }
     }
@@ -225,26 +219,39 @@
         leader.roster_revision.get()
     }
 
-    /// Removes the cancellations of jobs that have not become known.
+    /// Removes what is kept for callers once its retention time has passed.
+    pub(crate) async fn remove_expired(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            tokio::time::sleep(EXPIRY_PERIOD_MS.to_duration()).await;
+            self.remove_expired_jobs(&leader).await;
+            self.remove_expired_cancellations(&leader).await;
+        }
+    }
+
+    /// Removes the cancellations of jobs that have not become known, unless the job is stored by now.
     async fn remove_expired_cancellations(&self, leader: &Leader) {
         let expired = leader.cell.borrow().expired_cancellations(clock::now());
         for chunk in expired.chunks(MAX_EXPIRED_CANCELLATIONS) {
+            let no_jobs = chunk.iter().map(|id| (keys::job(id), 0)).collect();
             let removes = chunk.iter().map(keys::cancel).collect();
-            if !self.remove_keys(leader, removes).await {
+            if !self.remove_keys(leader, no_jobs, removes).await {
                 event!("job.remove_failed", "cancellations" => chunk.len());
-                return;
+                continue;
             }
             leader.cell.borrow_mut().forget_cancellations(chunk);
         }
     }
 
-    /// Removes keys on condition that this process leads. Returns whether they are removed.
-    async fn remove_keys(&self, leader: &Leader, removes: Vec<String>) -> bool {
-        let transaction = Transaction {
-            expected: vec![(keys::LEADER.to_owned(), leader.revision)],
-            puts: Vec::new(),
-            removes,
-        };
+    /// Removes keys on condition that this process leads, and on further ones. Returns whether they are
+    /// removed.
+    async fn remove_keys(
+        &self,
+        leader: &Leader,
+        mut expected: Vec<(String, u64)>,
+        removes: Vec<String>,
+    ) -> bool {
+        expected.push((keys::LEADER.to_owned(), leader.revision));
+        let transaction = Transaction { expected, puts: Vec::new(), removes };
         let removed = self.store_result(self.ports.store.commit(&transaction).await);
         matches!(removed, Ok(Commit::Done(_)))
     }
@@ -258,7 +265,7 @@
                 .flat_map(|id| [keys::job(id), keys::cancel(id), keys::progress(id)])
                 .collect();
             let _guard = leader.removing.lock().await;
-            if !self.remove_keys(leader, removes).await {
+            if !self.remove_keys(leader, Vec::new(), removes).await {
                 // The next call removes the rest, also the jobs that may be gone.
                 event!("job.remove_failed", "jobs" => chunk.len());
                 return;
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -248,6 +248,28 @@
     });
 }
 
+/// Guards against a cancelled job that starts: its cancellation was removed, as that of an unknown job, while
+/// the job was stored and the leader had not heard of it.
+#[test]
+fn the_cancellation_of_a_stored_job_is_kept_until_the_leader_knows_the_job() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        let leader = start("leader", &environment);
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        environment.watches_are_silent.set(true);
+        tokio::time::sleep(TIMEOUT_MS.to_duration()).await;
+        let other = start("other", &environment);
+        assert_eq!(other.accept(job(1)).await, SubmitOutcome::Stored);
+        assert_eq!(leader.cancel(&job(1).id).await, CancelOutcome::Stored);
+        tokio::time::sleep(EXPIRED_MS.to_duration()).await;
+        environment.watches_are_silent.set(false);
+        let has_end = || environment.count_writes("progress/") > 0;
+        assert!(within(has_end).await, "the leader did not learn of the job");
+        assert_eq!(environment.starts.get(), 0, "the cancelled job was started");
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
