A cancellation that the store refuses is sent again, and a repeated one is not written again

Callers got 504 for a cancellation, and the job started: one refusal of the store (429 or 503, as beyond its limit of writes) ended the attempt, although callers wait 3 s.

The process tries again for 1 s, with growing delays. Tests: a_refused_cancellation_is_sent_again, a_repeated_cancellation_is_written_once.

--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -26,6 +26,8 @@
 const RESOLVE_RETRY_MS: Millis = Millis(40);
 /// Longest delay before an unanswered write is sent again.
 const MAX_RESOLVE_RETRY_MS: Millis = Millis(320);
+/// Time after which no further attempt to store a cancellation begins. Callers wait at most 3 s.
+const CANCEL_RETRY_TIMEOUT_MS: Millis = Millis(1_000);
 /// Consecutive failed calls after which this process considers the store unreachable.
 const STORE_DOWN_FAILURES: u32 = 2;
 /// Maximum age of a cached number of pending jobs.
@@ -162,9 +164,7 @@
             if clock::now() >= until {
                 return SubmitOutcome::Unknown;
             }
-            let jitter_ms = Millis(libs::rand::random_range(0..delay_ms.0));
-            libs::tokio::time::sleep((delay_ms + jitter_ms).to_duration()).await;
-            delay_ms = (delay_ms + delay_ms).min(MAX_RESOLVE_RETRY_MS);
+            delay_ms = back_off(delay_ms).await;
         }
     }
 
@@ -248,8 +248,21 @@
         JobLookup::Known(if has_begun { JobStatus::Running } else { JobStatus::Queued })
     }
 
-    /// Cancels a job, directly or through a peer, and notifies the leader.
+    /// Cancels a job, directly or through a peer, and notifies the leader. Tries again for a while: the
+    /// store also refuses calls because there are too many.
     pub async fn cancel(&self, id: &JobId) -> CancelOutcome {
+        let last_try_ms = clock::now() + CANCEL_RETRY_TIMEOUT_MS;
+        let mut delay_ms = RESOLVE_RETRY_MS;
+        loop {
+            let outcome = self.try_cancel(id).await;
+            if outcome != CancelOutcome::Unknown || clock::now() + delay_ms >= last_try_ms {
+                return outcome;
+            }
+            delay_ms = back_off(delay_ms).await;
+        }
+    }
+
+    async fn try_cancel(&self, id: &JobId) -> CancelOutcome {
         let store_down = self.store_failures.get() >= STORE_DOWN_FAILURES;
         let local = if store_down { CancelOutcome::Unknown } else { self.store_cancel(id).await };
         let outcome = match local {
@@ -293,9 +306,10 @@
         let Ok(value) = encode(&Cancellation { unix_ms: eventlog::unix_ms() }) else {
             return CancelOutcome::Unknown;
         };
+        let key = keys::cancel(id);
         let transaction = Transaction {
-            expected: Vec::new(),
-            puts: vec![(keys::cancel(id), value, 0)],
+            expected: vec![(key.clone(), 0)],
+            puts: vec![(key, value, 0)],
             removes: Vec::new(),
         };
         match self.commit_with_retry(&transaction).await {
@@ -331,3 +345,10 @@
         self.loaded_term().map(|leader| leader.cell.borrow().queued_jobs(queue) as u64)
     }
 }
+
+/// Waits before a call is tried again. Returns the next delay.
+async fn back_off(delay_ms: Millis) -> Millis {
+    let jitter_ms = Millis(libs::rand::random_range(0..delay_ms.0));
+    libs::tokio::time::sleep((delay_ms + jitter_ms).to_duration()).await;
+    (delay_ms + delay_ms).min(MAX_RESOLVE_RETRY_MS)
+}
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -270,6 +270,33 @@
     });
 }
 
+/// Guards against a cancellation that is given up at the first refusal of the store, while its caller waits.
+#[test]
+fn a_refused_cancellation_is_sent_again() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        let node = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        assert_eq!(node.accept(job(1)).await, SubmitOutcome::Stored);
+        environment.refused_cancellations.set(2);
+        assert_eq!(node.cancel(&job(1).id).await, CancelOutcome::Stored);
+    });
+}
+
+/// Guards against a write for each repeated cancellation.
+#[test]
+fn a_repeated_cancellation_is_written_once() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        let node = start("leader", &environment);
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        for _ in 0..3 {
+            assert_eq!(node.cancel(&job(1).id).await, CancelOutcome::NoJob);
+        }
+        assert_eq!(environment.count_writes("in/cancel/"), 1);
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -57,6 +57,8 @@
     pub writes_are_lost: Cell<bool>,
     /// The store answers no write, and carries each out this much later if its condition holds then.
     pub late_writes_ms: Cell<Option<Millis>>,
+    /// Number of writes of cancellations that the store still refuses, as beyond its limit of writes.
+    pub refused_cancellations: Cell<u32>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
     /// Number of lease renewals still to be left unanswered for `CALL_TIMEOUT_MS`.
@@ -314,6 +316,12 @@
             if self.0.writes_are_lost.get() {
                 return Err(StoreError::Unanswered);
             }
+            let refused = self.0.refused_cancellations.get();
+            let cancels = transaction.puts.iter().any(|(key, ..)| key.starts_with("in/cancel/"));
+            if cancels && refused > 0 {
+                self.0.refused_cancellations.set(refused - 1);
+                return Err(StoreError::NotApplied);
+            }
             if let Some(late_ms) = self.0.late_writes_ms.get() {
                 let (environment, transaction) = (self.0.clone(), transaction.clone());
                 tokio::task::spawn_local(async move {
