The test of a late submission no longer races the submission's next attempt

a_job_that_is_stored_after_its_cancellation_was_answered_does_not_start failed in 2 of 14 runs.

Cause: the store of the test answered again 60 ms after the submission, whose second attempt then stored the job at about the time of the cancellation. The trace shows the start 3 and 8 ms before the cancellation was answered, which is allowed; the late write was not what the test saw.

A watch of the test's store reads what it answers without a further delay, since a loss of history in between went unnoticed.

--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -118,13 +118,12 @@
         let other = start("other", &environment);
         let record = job(1);
         let id = record.id.clone();
-        environment.late_writes_ms.set(Some(LATE_WRITE_MS));
+        environment.late_job_writes_ms.set(Some(LATE_WRITE_MS));
         let submission = tokio::task::spawn_local({
             let other = other.clone();
             async move { other.accept(record).await }
         });
         tokio::time::sleep(AFTER_ELECTION_MS.to_duration()).await;
-        environment.late_writes_ms.set(None);
         assert_eq!(other.cancel(&id).await, CancelOutcome::NoJob);
         let is_stored = || environment.value("in/job/0000000000000001").is_some();
         assert!(within(is_stored).await, "the late write was not carried out");
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -55,8 +55,9 @@
     pub unanswered_polls: Cell<u32>,
     /// The store leaves all writes unanswered, and carries none of them out.
     pub writes_are_lost: Cell<bool>,
-    /// The store answers no write, and carries each out this much later if its condition holds then.
-    pub late_writes_ms: Cell<Option<Millis>>,
+    /// The store answers no write of a job, and carries each out this much later if its condition holds
+    /// then.
+    pub late_job_writes_ms: Cell<Option<Millis>>,
     /// The store refuses all calls.
     pub store_is_down: Cell<bool>,
     /// Number of lease renewals still to be left unanswered for `CALL_TIMEOUT_MS`.
@@ -280,14 +281,14 @@
             }
             let until = clock::now() + wait_ms;
             loop {
-                sleep(STORE_CALL_MS).await;
+                let reached = self.store_call().await;
                 if after < self.0.compacted.get() {
                     return Err(StoreError::HistoryGone);
                 }
                 if self.0.watches_are_silent.get() {
                     continue;
                 }
-                self.store_call().await?;
+                reached?;
                 if self.0.ranges_fail.get() {
                     return Err(StoreError::Unanswered);
                 }
@@ -314,7 +315,8 @@
             if self.0.writes_are_lost.get() {
                 return Err(StoreError::Unanswered);
             }
-            if let Some(late_ms) = self.0.late_writes_ms.get() {
+            let writes_job = transaction.puts.iter().any(|(key, ..)| key.starts_with(JOBS));
+            if let Some(late_ms) = self.0.late_job_writes_ms.get().filter(|_| writes_job) {
                 let (environment, transaction) = (self.0.clone(), transaction.clone());
                 tokio::task::spawn_local(async move {
                     sleep(late_ms).await;
