--- a/components/cluster/src/intake.rs
+++ b/components/cluster/src/intake.rs
@@ -31,10 +31,12 @@
 const INTAKE_PERIOD_MS: Millis = Millis(500);
 /// Delay between two watches of the workers: a draining worker must be noticed within 2 s.
 const WORKERS_PERIOD_MS: Millis = Millis(300);
-/// Changes in an answer from which on the next watch starts at once. The store sends at most some
-/// hundred changes in an answer, so that with a delay after each one a watch would fall behind for good
-/// in a large fleet, or while many jobs come and go.
-const BACKLOG_CHANGES: usize = 200;
+/// Changes in an answer from which on the next watch of the workers starts at once. The store sends at
+/// most some hundred changes in an answer, so that with a delay after each one the watch of a large fleet
+/// would fall behind for good.
+const WORKERS_BACKLOG_CHANGES: usize = 200;
+/// The same for the intake, whose changes are larger, so that fewer may fit into an answer.
+const INTAKE_BACKLOG_CHANGES: usize = 50;
 /// Delay after a failed watch.
 const RETRY_DELAY_MS: Millis = Millis(150);
 
@@ -43,13 +45,7 @@
 /// Load pattern: each worker writes its entry every 1.5 s, which counts as a change. 3,000 workers
 /// make 2,000 changes a second.
 pub fn next_workers_watch_delay_ms(changes: usize) -> Millis {
-    next_watch_delay_ms(changes, WORKERS_PERIOD_MS)
-}
-
-/// Delay before the next watch, after an answer with a number of changes; `period_ms` if there is no
-/// backlog.
-fn next_watch_delay_ms(changes: usize, period_ms: Millis) -> Millis {
-    if changes >= BACKLOG_CHANGES { Millis(0) } else { period_ms }
+    if changes >= WORKERS_BACKLOG_CHANGES { Millis(0) } else { WORKERS_PERIOD_MS }
 }
 
 /// A notice of a change of the intake.
@@ -163,18 +159,17 @@
                         self.apply_intake_change(change, Source::Watch);
                     }
                     self.metrics.add("intake_changes", changes.len() as u64);
+                    leader.intake_after.set(at);
+                    leader.changed.notify_one();
                     // A full answer does not reach up to the present.
-                    if changes.len() < BACKLOG_CHANGES {
+                    if changes.len() < INTAKE_BACKLOG_CHANGES {
                         leader.intake_heard_ms.set(clock::now());
+                        tokio::time::sleep(INTAKE_PERIOD_MS.to_duration()).await;
                     }
-                    leader.intake_after.set(at);
-                    leader.changed.notify_one();
-                    let delay_ms = next_watch_delay_ms(changes.len(), INTAKE_PERIOD_MS);
-                    tokio::time::sleep(delay_ms.to_duration()).await;
                 }
                 Err(StoreError::HistoryGone) => {
                     event!("store.history_gone", "prefix" => keys::INTAKE, "after" => after);
-                    self.list_intake(&leader).await;
+                    self.list_cancellations(&leader).await;
                     tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
                 }
                 Err(_recorded) => tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await,
@@ -213,23 +208,52 @@
         is_overdue
     }
 
-    async fn list_intake(&self, leader: &Leader) {
+    /// Reads all cancellations, from whose revision the watch goes on. Those of jobs that are missing yet
+    /// are kept until these are read, which may take seconds.
+    async fn list_cancellations(&self, leader: &Leader) {
+        let sent_ms = clock::now();
+        if let Some(at) = self.list_intake(leader, keys::CANCELS).await {
+            leader.intake_heard_ms.set(sent_ms);
+            leader.intake_after.set(at);
+            leader.jobs_missed.notify_one();
+        }
+    }
+
+    /// Reads all jobs after a loss of history, beside the watch.
+    pub(crate) async fn list_missed_jobs(self: Rc<Self>, leader: Rc<Leader>) {
+        loop {
+            leader.jobs_missed.notified().await;
+            while !self.list_jobs(&leader).await {
+                tokio::time::sleep(RETRY_DELAY_MS.to_duration()).await;
+            }
+        }
+    }
+
+    async fn list_jobs(&self, leader: &Leader) -> bool {
         let _guard = leader.removing.lock().await;
+        self.list_intake(leader, keys::JOBS).await.is_some()
+    }
+
+    /// Reads a part of the intake. Returns the revision of the list; `None` if it failed.
+    async fn list_intake(&self, leader: &Leader, prefix: &'static str) -> Option<u64> {
         let sent_ms = clock::now();
-        let listed = self.store_result(self.ports.store.range(keys::INTAKE).await);
+        let listed = self.store_result(self.ports.store.range(prefix).await);
         let took_ms = clock::now().since(sent_ms);
         match listed {
             Ok((items, at)) => {
-                event!("intake.listed", "items" => items.len(), "at" => at, "took_ms" => took_ms.0);
+                event!("intake.listed", "prefix" => prefix, "items" => items.len(), "at" => at,
+                    "took_ms" => took_ms.0);
                 for item in items {
                     self.apply_intake_change(&Change::Put(item), Source::List);
                 }
-                leader.intake_heard_ms.set(sent_ms);
-                leader.intake_after.set(at);
+                Some(at)
+            }
+            Err(error) => {
+                event!("intake.list_failed", "prefix" => prefix, "error" => error.to_string(),
+                    "took_ms" => took_ms.0,
+                    "age_ms" => clock::now().since(leader.intake_heard_ms.get()).0);
+                None
             }
-            Err(error) => event!("intake.list_failed", "error" => error.to_string(),
-                "took_ms" => took_ms.0,
-                "age_ms" => clock::now().since(leader.intake_heard_ms.get()).0),
         }
     }
 
