A panic in a task of a term ends the term

Ruled out: a term that was stepped down halfway; its log had no line of that.

The tasks of a term, its renewals and the polls of workers end the term when they panic, with leader.dropped. Another process, or the same one, is elected once the lease has expired. Test: a_panic_ends_the_term.

--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -2,11 +2,13 @@
 
 use std::cell::{Cell as StdCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 use cell::{Cell, JobRecord, Progress, RetryBudget, RosterRow, StartPermission};
 use clock::CancellationToken;
 use eventlog::event;
+use libs::futures_util::FutureExt;
 use libs::tokio;
 use tokio::sync::Notify;
 use types::{JobId, Millis, WorkerId};
@@ -158,14 +160,24 @@
         let leader = Rc::new(leader);
         *self.leadership.borrow_mut() = Some(leader.clone());
         let Some(node) = self.this.upgrade() else { return };
-        let run = async move {
-            let token = leader.token.clone();
-            tokio::select! {
-                () = node.run_term(leader) => {}
-                () = token.cancelled() => {}
+        self.spawn_in_term(&leader, node.run_term(leader.clone()));
+    }
+
+    /// Runs a task until it or the term ends. A task that panics ends the term: the process would go on
+    /// to answer as the leader, and do nothing.
+    pub(crate) fn spawn_in_term(&self, leader: &Leader, task: impl Future<Output = ()> + 'static) {
+        let Some(node) = self.this.upgrade() else { return };
+        let (token, epoch) = (leader.token.clone(), leader.epoch);
+        tokio::task::spawn_local(async move {
+            let ended = tokio::select! {
+                ended = AssertUnwindSafe(task).catch_unwind() => ended,
+                () = token.cancelled() => return,
+            };
+            let leads = node.leadership.borrow().as_ref().is_some_and(|own| own.epoch == epoch);
+            if ended.is_err() && leads {
+                node.end_term("a task of the term has panicked");
             }
-        };
-        tokio::task::spawn_local(run);
+        });
     }
 
     /// The current term of this process, once its state is loaded.
@@ -253,14 +265,7 @@
         let period = Millis(self.settings.leader_lease_ms.0 / RENEWALS_PER_LEASE);
         loop {
             tokio::time::sleep(period.to_duration()).await;
-            let renewal = self.clone().renew_once(leader.clone());
-            let token = leader.token.clone();
-            tokio::task::spawn_local(async move {
-                tokio::select! {
-                    () = renewal => {}
-                    () = token.cancelled() => {}
-                }
-            });
+            self.spawn_in_term(&leader, self.clone().renew_once(leader.clone()));
         }
     }
 
--- a/components/cluster/src/polling.rs
+++ b/components/cluster/src/polling.rs
@@ -54,14 +54,7 @@
         let ids = leader.cell.borrow().worker_ids();
         for id in ids {
             if leader.polled_workers.borrow_mut().insert(id.clone()) {
-                let run = self.clone().poll_worker(leader.clone(), id);
-                let token = leader.token.clone();
-                tokio::task::spawn_local(async move {
-                    tokio::select! {
-                        () = run => {}
-                        () = token.cancelled() => {}
-                    }
-                });
+                self.spawn_in_term(leader, self.clone().poll_worker(leader.clone(), id));
             }
         }
     }
--- a/components/cluster/tests/election.rs
+++ b/components/cluster/tests/election.rs
@@ -47,6 +47,19 @@
     });
 }
 
+/// Guards against a process that answers as the leader and does nothing: a task of its term had panicked.
+#[test]
+fn a_panic_ends_the_term() {
+    let environment = Rc::new(Environment::default());
+    run(async {
+        let ports = ports(&environment, &Rc::default());
+        let node = node_with_lease("one", address(), ports, Millis(1_200));
+        environment.worker_watch_panics.set(true);
+        let elected_again = run_node_until(node, || elections(&environment) > 1).await;
+        assert!(elected_again, "nobody leads");
+    });
+}
+
 /// Guards against a change of leader because one answer of the store is lost: the call times out
 /// after three quarters of the lease.
 #[test]
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -72,6 +72,8 @@
     pub job_range_delay_ms: Cell<Millis>,
     /// Number of watches still to be left unanswered until the call times out.
     pub unanswered_watches: Cell<u32>,
+    /// The next watch of the workers panics.
+    pub worker_watch_panics: Cell<bool>,
     /// Watches hear nothing.
     pub watches_are_silent: Cell<bool>,
     /// Most changes in an answer to a watch.
@@ -385,6 +387,7 @@
     ) -> LocalBoxFuture<'_, StoreResult<(Vec<WorkerChange>, u64)>> {
         Box::pin(async move {
             self.store_call().await?;
+            assert!(!self.0.worker_watch_panics.replace(false), "as the test asks for");
             let workers = self.0.workers.borrow().clone();
             let listed = |report| WorkerChange::Listed(Box::new(report));
             Ok((workers.into_iter().map(listed).collect(), 0))
