--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -80,6 +80,8 @@
     pub max_watch_changes: Cell<Option<usize>>,
     /// Watches from before this revision fail, since the history is gone.
     pub compacted: Cell<u64>,
+    /// Polls of this worker fail.
+    pub unreachable_worker: RefCell<Option<WorkerId>>,
     /// All polls of workers fail.
     pub workers_are_unreachable: Cell<bool>,
     /// Number of polls that renewed leases.
@@ -487,7 +489,8 @@
                 sleep(UNANSWERED_CALL_MS).await;
                 return PollOutcome::Failed;
             }
-            if self.0.workers_are_unreachable.get() {
+            let is_unreachable = self.0.unreachable_worker.borrow().as_ref() == Some(worker);
+            if self.0.workers_are_unreachable.get() || is_unreachable {
                 return PollOutcome::Failed;
             }
             if order.deadline_ms.is_some() {
