--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -11,10 +11,15 @@
 use crate::job::Phase;
 use crate::learning::RunForecasts;
 use crate::model::{StepSpec, TaskKey};
+use crate::permission::StartPermission;
 use crate::worker::{Run, RunState};
 
 /// Time from sending a start order after which the worker refuses it.
 pub const START_DEADLINE_MS: Millis = Millis(2_500);
+/// Time by which leases are shorter while another process may have been elected: a leader learns of its
+/// successor once a peer that is silent no longer counts as live, or sooner. The successor waits for a
+/// whole lease from its election.
+const UNNOTICED_SUCCESSOR_MS: Millis = Millis(1_500);
 /// Times that an unanswered start is sent again. This is safe, since a worker starts a run once.
 const MAX_RESENDS: u32 = 3;
 /// Delay before a task is started again after a refusal that the task did not cause.
@@ -33,6 +38,7 @@
         ticket: Option<CompactString>,
         now: Millis,
     ) {
+        let lease_ms = self.granted_lease_ms();
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let record = job.record.clone();
@@ -46,7 +52,7 @@
         let has_losses = !task.losses.is_empty();
         let is_from_start = checkpoint.is_empty();
         let forecast = step.forecast;
-        let deadline_ms = worker.clock_now(now) + START_DEADLINE_MS;
+        let deadline_ms = worker.clock_now(now) + START_DEADLINE_MS.min(lease_ms);
         worker.lease_deadline_ms = worker.lease_deadline_ms.max(deadline_ms);
         let mut run = new_run(spec, record.team.clone(), attempt, RunState::Starting, now);
         run.has_losses = has_losses;
@@ -228,7 +234,7 @@
 
     /// Returns the next poll of a worker; none if the worker is unknown.
     pub fn poll_order(&mut self, id: &WorkerId, wait: bool, now: Millis) -> Option<PollOrder> {
-        let lease = self.settings.lease_ms;
+        let lease_ms = self.granted_lease_ms();
         let idle_wait_ms = idle_poll_wait_ms(self.settings.poll_wait_ms, self.workers.len());
         let worker = self.workers.get_mut(id)?;
         // The end of a run is reported at once, so the wait only matters for lost answers and for the
@@ -239,7 +245,7 @@
         let wait_ms = match (wait, is_idle) {
             (false, _) => Millis(0),
             (true, false) => self.settings.poll_wait_ms,
-            (true, true) => idle_wait_ms,
+            (true, true) => idle_wait_ms.min(Millis(lease_ms.0 / 2)),
         };
         // The leases of a worker that does not answer must expire, so that its tasks can start
         // elsewhere. While starts are disabled or a roster reports the worker as silent, the next
@@ -248,7 +254,7 @@
             && worker.reachable
             && !worker.reported_silent
             && worker.last_answer_ms > Millis(0);
-        let deadline_ms = renews.then(|| worker.clock_now(now) + lease);
+        let deadline_ms = renews.then(|| worker.clock_now(now) + lease_ms);
         if let Some(deadline) = deadline_ms {
             worker.lease_deadline_ms = worker.lease_deadline_ms.max(deadline);
         }
@@ -257,6 +263,17 @@
         Some(PollOrder { address, fence, deadline_ms, ack: worker.acknowledgeable_end(), wait_ms })
     }
 
+    /// Longest lease that orders may set now. It is shorter while another process may have been elected.
+    fn granted_lease_ms(&self) -> Millis {
+        let lease_ms = self.settings.lease_ms;
+        match self.start_permission {
+            StartPermission::AllJobs => lease_ms,
+            StartPermission::JobsKnownBefore(_) | StartPermission::Nothing => {
+                lease_ms - UNNOTICED_SUCCESSOR_MS.min(Millis(lease_ms.0 / 2))
+            }
+        }
+    }
+
     /// Attempt number for the next run of a task, above all earlier ones.
     pub(crate) fn next_attempt(epoch: u64, last: u32) -> u32 {
         let first = u32::try_from(epoch.saturating_sub(1)).unwrap_or(0) * ATTEMPTS_PER_EPOCH + 1;
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -3,8 +3,8 @@
 mod simulation;
 
 use cell::{
-    Action, ActiveRun, Cell, CellSettings, JobRecord, PollAnswer, RosterRow, StartOrder, StepSpec,
-    TaskKey, WorkerReport,
+    Action, ActiveRun, Cell, CellSettings, JobRecord, PollAnswer, RosterRow, StartOrder,
+    StartPermission, StepSpec, TaskKey, WorkerReport,
 };
 use simulation::{job, policy, report};
 use types::{Millis, Resources, WorkerId};
@@ -12,9 +12,9 @@
 /// Time of the change of leader.
 const ELECTED_MS: Millis = Millis(3_500);
 
-fn cell(epoch: u64) -> Cell {
+fn cell(epoch: u64, lease_ms: Millis) -> Cell {
     let settings = CellSettings {
-        lease_ms: Millis(4_500),
+        lease_ms,
         max_lease_ms: Millis(6_000),
         ended_retention_ms: Millis(120_000),
         poll_wait_ms: Millis(0),
@@ -58,13 +58,18 @@
 /// The first leader and its two workers, each of which runs a task.
 struct FirstTerm {
     cell: Cell,
+    lease_ms: Millis,
     jobs: Vec<JobRecord>,
     /// Tasks and workers.
     runs: Vec<(TaskKey, u32, WorkerId)>,
 }
 
 fn first_term() -> FirstTerm {
-    let mut cell = cell(1);
+    first_term_with_lease(Millis(4_500))
+}
+
+fn first_term_with_lease(lease_ms: Millis) -> FirstTerm {
+    let mut cell = cell(1, lease_ms);
     for name in ["w0", "w1"] {
         cell.worker_listed(report(name), Millis(1));
         let id = name.parse().expect("worker id");
@@ -78,14 +83,14 @@
     let orders = starts(&mut cell, Millis(20));
     assert_eq!(orders.len(), 2);
     let runs = orders.iter().map(|one| (one.task.clone(), one.attempt, one.worker.clone()));
-    FirstTerm { cell, jobs, runs: runs.collect() }
+    FirstTerm { cell, lease_ms, jobs, runs: runs.collect() }
 }
 
 impl FirstTerm {
     /// Starts the next term, which does not hear of the worker of the first run. The other one
     /// answers. The jobs `more` were accepted by the first leader and not started.
     fn next(&self, roster: &[RosterRow], more: Vec<JobRecord>) -> Cell {
-        let mut next = cell(2);
+        let mut next = cell(2, self.lease_ms);
         for record in self.jobs.iter().cloned().chain(more) {
             next.restore(record, None, ELECTED_MS);
         }
@@ -322,3 +327,50 @@
     let orders = starts(&mut next, ELECTED_MS + Millis(60));
     assert_eq!(jobs_of(&orders), ["00000000000000a3"], "all ends are known");
 }
+
+/// Guards against two runs of a task: a leader that had lost its lease renewed those of a worker that its
+/// successor could not reach, and started tasks there, until it learned of the successor.
+#[test]
+fn leases_that_a_former_leader_sets_until_it_learns_of_its_successor_are_waited_for() {
+    /// Time for which a silent peer counts as live.
+    const UNNOTICED_MS: Millis = Millis(1_500);
+    for lease_ms in [Millis(4_500), Millis(3_600)] {
+        let mut first = first_term_with_lease(lease_ms);
+        let (task, attempt, worker) = first.runs[0].clone();
+        let asked_ms = ELECTED_MS + UNNOTICED_MS;
+        // The clock of the worker runs 2% slow.
+        let clock_ms = |now: Millis| Millis(500 + now.0 * 98 / 100);
+        let run =
+            ActiveRun { task, attempt, checkpoint: Default::default(), percent: 40, gauge: 0 };
+        let shown = PollAnswer { clock_ms: clock_ms(asked_ms), ..answer(vec![run]) };
+        first.cell.add_job(one_task_job("00000000000000a3", "large", 2), ELECTED_MS - Millis(10));
+        first.cell.set_start_permission(StartPermission::JobsKnownBefore(ELECTED_MS));
+        first.cell.poll_answered(&worker, asked_ms - Millis(5), &shown, asked_ms);
+        let polled = first.cell.poll_order(&worker, false, asked_ms).expect("a known worker");
+        let started = starts(&mut first.cell, asked_ms);
+        assert_eq!(jobs_of(&started), ["00000000000000a3"]);
+        let leased_ms = started[0].deadline_ms.max(polled.deadline_ms.expect("a lease"));
+        let mut next = first.next(&[], Vec::new());
+        free(&mut next, &first.runs[1]);
+        let mut now = ELECTED_MS + Millis(20);
+        while clock_ms(now) <= leased_ms {
+            assert!(starts(&mut next, now).is_empty(), "{lease_ms}: in force at {now}");
+            now = now + Millis(50);
+        }
+        let expired = starts(&mut next, now + Millis(1_000));
+        assert_eq!(jobs_of(&expired), [first.runs[0].0.step.job.as_str()]);
+    }
+}
+
+/// Ends a run that the next leader has found.
+fn free(next: &mut Cell, (task, attempt, worker): &(TaskKey, u32, WorkerId)) {
+    let end = cell::EndedRun {
+        sequence: 1,
+        task: task.clone(),
+        attempt: *attempt,
+        ending: cell::Ending::Done,
+        checkpoint: Default::default(),
+    };
+    let freed = PollAnswer { ended: vec![end], ..answer(Vec::new()) };
+    next.poll_answered(worker, ELECTED_MS + Millis(10), &freed, ELECTED_MS + Millis(15));
+}
