--- a/components/cluster/src/requests.rs
+++ b/components/cluster/src/requests.rs
@@ -52,7 +52,7 @@
 pub enum CancelOutcome {
     /// The cancellation is stored, or the job has already ended.
     Stored,
-    /// There is no such job. The cancellation is stored, in case that a submission is still carried out.
+    /// There is no such job. The cancellation is stored, in case a submission is still carried out.
     NoJob,
     /// The cancellation may or may not be stored.
     Unknown,
