Ends of runs are stored while all jobs are read

After a loss of history a leader stored no ends for as long as the read of all jobs took, so that workers listed them again and again, and callers saw finished jobs as running.

Cause: the loop that stores batches also removes expired jobs, and waits there for the lock that a read of all jobs holds.

The removal is left for its next turn, 5 s later, while the jobs are read.

--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -257,7 +257,8 @@
                 .iter()
                 .flat_map(|id| [keys::job(id), keys::cancel(id), keys::progress(id)])
                 .collect();
-            let _guard = leader.removing.lock().await;
+            // A list of all jobs takes seconds, in which ends are to be stored.
+            let Ok(_guard) = leader.removing.try_lock() else { return };
             if !self.remove_keys(leader, removes).await {
                 // The next call removes the rest, also the jobs that may be gone.
                 event!("job.remove_failed", "jobs" => chunk.len());
--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -267,6 +267,26 @@
     });
 }
 
+/// Guards against ends of runs that are not stored for seconds: expired jobs waited to be removed until all
+/// jobs were read after a loss of history.
+#[test]
+fn ends_are_stored_while_the_leader_reads_all_jobs() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        environment.add_worker("only");
+        let leader = start("leader", &environment);
+        assert!(within(|| environment.lease_renewals.get() > 0).await, "no leader");
+        assert_eq!(leader.accept(job(1)).await, SubmitOutcome::Stored);
+        assert!(within(|| environment.count_writes("progress/") > 0).await, "the job did not end");
+        environment.job_range_delay_ms.set(EXPIRED_MS);
+        environment.compact();
+        tokio::time::sleep(EXPIRED_MS.to_duration() - ROUNDS_MS.to_duration()).await;
+        assert_eq!(leader.accept(job(2)).await, SubmitOutcome::Stored);
+        let has_end = || environment.value("progress/0000000000000002").is_some();
+        assert!(within_ms(ROUNDS_MS, has_end).await, "the end is not stored");
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
