--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -133,6 +133,7 @@
                     step.set_phase(index, Phase::Done);
                 }
                 if let Some(worker) = other_run {
+                    self.stray_runs.insert((key.clone(), worker.clone()));
                     self.stop_run(&worker, key, "task done in another run", now);
                 }
                 self.complete_task(key, now);
--- a/components/cell/src/recovery.rs
+++ b/components/cell/src/recovery.rs
@@ -43,6 +43,17 @@
         self.tasks.contains(&task) || self.strays.contains(&task)
     }
 
+    /// Whether a task of the step has a run that it does not need and that has not ended.
+    pub(crate) fn has_stray_run(&self, step: &StepKey) -> bool {
+        let first = TaskKey { step: step.clone(), index: 0 };
+        self.strays.range(first..).next().is_some_and(|task| task.step == *step)
+    }
+
+    /// Whether no task has such a run.
+    pub(crate) fn has_no_strays(&self) -> bool {
+        self.strays.is_empty()
+    }
+
     /// Resources that the team may use on unseen workers.
     pub(crate) fn usage(&self, team: &TeamId) -> Resources {
         self.usage.get(team).copied().unwrap_or_default()
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -293,7 +293,15 @@
     if occurrence.steps.iter().all(|step| step.waiting == 0) {
         return Vec::new();
     }
-    let done: Vec<bool> = occurrence.steps.iter().map(Step::is_done).collect();
+    // A later step waits for the last run of an earlier one to end: a new leader that finds such a run
+    // takes the later step for one that was never started.
+    let has_stray = |step: usize| {
+        let step = u16::try_from(step).unwrap_or(u16::MAX);
+        let key = StepKey { job: record.id.clone(), occurrence: number, step };
+        !held.has_no_strays() && held.has_stray_run(&key)
+    };
+    let steps = occurrence.steps.iter().enumerate();
+    let done: Vec<bool> = steps.map(|(index, step)| step.is_done() && !has_stray(index)).collect();
     let mut ready = Vec::new();
     for (index, (step, spec)) in occurrence.steps.iter_mut().zip(&record.spec.steps).enumerate() {
         let earlier_done =
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -328,6 +328,39 @@
     assert_eq!(jobs_of(&orders), ["00000000000000a3"], "all ends are known");
 }
 
+/// Guards against two runs of a task of a later step: a new leader that found a run of an earlier step took
+/// the later one for one that was never started, although the task of that run was done in another one.
+#[test]
+fn a_later_step_waits_for_all_runs_of_the_earlier_one_to_end() {
+    let mut first = first_term();
+    let (task, attempt, silent) = first.runs[0].clone();
+    let chain = first.jobs.iter_mut().find(|job| job.id == task.step.job).expect("its job");
+    let later = StepSpec { after: vec![0], ..chain.spec.steps[0].clone() };
+    chain.spec.steps.push(later);
+    first.cell.poll_failed(&silent, Millis(500));
+    let roster = first.cell.roster(Millis(3_000));
+    let mut next = first.next(&roster, Vec::new());
+    free(&mut next, &first.runs[1]);
+    next.worker_listed(report("w2"), ELECTED_MS);
+    let idle = "w2".parse().expect("worker id");
+    next.poll_answered(&idle, ELECTED_MS, &answer(Vec::new()), ELECTED_MS + Millis(5));
+    let again = starts(&mut next, Millis(9_000)).remove(0);
+    let end = ended(1, &task, attempt, cell::Ending::Done);
+    let late = PollAnswer { ended: vec![end], ..answer(Vec::new()) };
+    next.poll_answered(&silent, Millis(9_010), &late, Millis(9_020));
+    assert!(starts(&mut next, Millis(9_030)).is_empty(), "the other run has not ended");
+    let end = ended(2, &again.task, again.attempt, cell::Ending::Stopped);
+    let stopped = PollAnswer { ended: vec![end], ..answer(Vec::new()) };
+    next.poll_answered(&again.worker, Millis(9_300), &stopped, Millis(9_305));
+    let later = starts(&mut next, Millis(9_310));
+    assert_eq!(later.iter().map(|order| order.task.step.step).collect::<Vec<_>>(), [1]);
+}
+
+fn ended(sequence: u64, task: &TaskKey, attempt: u32, ending: cell::Ending) -> cell::EndedRun {
+    let task = task.clone();
+    cell::EndedRun { sequence, task, attempt, ending, checkpoint: Default::default() }
+}
+
 /// Guards against two runs of a task: a leader that had lost its lease renewed those of a worker that its
 /// successor could not reach, and started tasks there, until it learned of the successor.
 #[test]
