--- a/components/cell/tests/simulation/checks.rs
+++ b/components/cell/tests/simulation/checks.rs
@@ -31,6 +31,8 @@
     done_acked: bool,
     /// Failed runs: time, attempt number, and whether the end was acknowledged.
     failed: Vec<(Millis, u32, bool)>,
+    /// The same of runs that ended as done.
+    done_ends: Vec<(Millis, u32, bool)>,
     starts: Vec<Millis>,
     /// Times at which it started and crashed its worker.
     crashes: Vec<Millis>,
@@ -62,6 +64,8 @@
     pub violations: Vec<String>,
     pub starts: u64,
     pub gang_incomplete: u64,
+    /// Runs of cancelled jobs that went on too long.
+    overdue_runs: BTreeSet<(TaskKey, u32)>,
 }
 
 impl Checks {
@@ -85,6 +89,7 @@
             violations: Vec::new(),
             starts: 0,
             gang_incomplete: 0,
+            overdue_runs: BTreeSet::new(),
         }
     }
 
@@ -98,6 +103,21 @@
         self.waiting.remove(id);
     }
 
+    /// Time at which the cancellation of a job was acknowledged.
+    pub fn cancelled_ms(&self, id: &JobId) -> Option<Millis> {
+        self.cancelled.get(id).copied()
+    }
+
+    /// Records that a run goes on too long after its job's cancellation.
+    pub fn runs_though_cancelled(&mut self, key: &TaskKey, attempt: u32, now: Millis) {
+        if self.overdue_runs.insert((key.clone(), attempt)) {
+            let cancelled_ms = self.cancelled_ms(&key.step.job);
+            let what = format!("{key} run {attempt}, cancelled at {cancelled_ms:?}");
+            let what = format!("{what}: {:?}", self.history[key]);
+            self.record_violation("runs on after cancellation", &what, now);
+        }
+    }
+
     /// Records the number of pending jobs of a queue as a leader gives it.
     pub fn pending_given(&mut self, queue: &QueueId, pending: usize, now: Millis) {
         let is_pending = |(id, accepted_ms): &(&JobId, &Millis)| {
@@ -149,7 +169,8 @@
             self.record_violation("unknown job", &what, now);
             return;
         };
-        if self.cancelled.get(&key.step.job).is_some_and(|at| now.since(*at) > CANCEL_MS) {
+        if let Some(at) = self.cancelled_ms(&key.step.job).filter(|at| now.since(*at) > CANCEL_MS) {
+            let what = format!("{what}, cancelled at {at}");
             self.record_violation("started after cancellation", &what, now);
         }
         let spec = &record.spec.steps[usize::from(key.step.step)];
@@ -258,13 +279,18 @@
         })
     }
 
-    /// Checks the invariants that can be judged only after the schedule: a failed run counts once
-    /// its end is acknowledged, which may be after the next start of its task.
+    /// Checks the invariants that can be judged only after the schedule: a run counts once its end is
+    /// acknowledged, which may be after the next start of its task.
     pub fn finish(&mut self) {
         let mut over = Vec::new();
         for (key, seen) in &self.tasks {
             let record = &self.jobs[&key.step.job];
             let spec = &record.spec.steps[usize::from(key.step.step)];
+            let is_done_before =
+                |at: &Millis| seen.done_ends.iter().any(|(ended, _, acked)| *acked && ended < at);
+            if seen.starts.iter().any(is_done_before) {
+                over.push(format!("started after it was done: {key} {:?}", self.history[key]));
+            }
             let most = record.policy.max_attempts as usize;
             let counted = |at: Millis| {
                 seen.failed.iter().filter(|(ended, _, acked)| *acked && *ended < at).count()
@@ -309,7 +335,10 @@
         }
         let seen = self.tasks.entry(key.clone()).or_default();
         match ending {
-            Ending::Done => seen.done = true,
+            Ending::Done => {
+                seen.done = true;
+                seen.done_ends.push((now, attempt, false));
+            }
             Ending::Failed => seen.failed.push((now, attempt, false)),
             Ending::GangIncomplete => self.gang_incomplete += 1,
             Ending::Stopped | Ending::LeaseExpired | Ending::GangMemberEnded => {}
@@ -337,8 +366,9 @@
         if end.ending == Ending::Done {
             seen.done_acked = true;
         }
-        for failed in seen.failed.iter_mut().filter(|(_, attempt, _)| *attempt == end.attempt) {
-            failed.2 = true;
+        let ends = seen.failed.iter_mut().chain(&mut seen.done_ends);
+        for counted in ends.filter(|(_, attempt, _)| *attempt == end.attempt) {
+            counted.2 = true;
         }
     }
 
