--- a/components/cluster/tests/intake.rs
+++ b/components/cluster/tests/intake.rs
@@ -287,6 +287,27 @@
     });
 }
 
+/// Guards against a caller that gives up: the process that took the cancellation knew a leader that does not
+/// answer.
+#[test]
+fn a_cancellation_is_answered_in_time_while_the_leader_is_silent() {
+    run(async {
+        let environment = Rc::new(Environment::default());
+        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let own_address = silent.local_addr().expect("its address");
+        let ports_of = || ports(&environment, &Rc::default());
+        run_node(node_with_lease("leader", own_address, ports_of(), LEASE_MS));
+        assert!(within(|| environment.value("leader").is_some()).await, "no leader");
+        let other = run_node(node_with_lease("other", address(), ports_of(), LEASE_MS));
+        tokio::time::sleep(ROUNDS_MS.to_duration()).await;
+        assert_eq!(other.accept(job(1)).await, SubmitOutcome::Stored);
+        let began_ms = clock::now();
+        assert_eq!(other.cancel(&job(1).id).await, CancelOutcome::Stored);
+        let took_ms = clock::now().since(began_ms);
+        assert!(took_ms < CANCEL_MS, "the answer took {took_ms}");
+    });
+}
+
 /// Guards against a store that fills up: cancellations of jobs that never come are kept for good.
 #[test]
 fn the_cancellation_of_an_unknown_job_is_removed_like_an_ended_job() {
