--- a/components/cell/tests/cancelled_runs.rs
+++ b/components/cell/tests/cancelled_runs.rs
@@ -85,7 +85,7 @@
 fn a_start_without_an_answer_is_not_sent_again_once_its_job_is_cancelled() {
     let mut cell = cell();
     let order = start(&mut cell);
-    cell.cancel_job(&id(), NOW + Millis(100));
+    cell.cancel_job(&id(), Millis(0), NOW + Millis(100));
     cell.start_answered(&order, StartAnswer::Unanswered, NOW + Millis(350));
     let (starts, stops) = orders(&mut cell, NOW + Millis(360));
     assert_eq!((starts.len(), stops), (0, 1));
@@ -96,7 +96,7 @@
 fn a_run_that_starts_late_is_stopped_until_the_worker_confirms_it() {
     let mut cell = cell();
     let order = start(&mut cell);
-    cell.cancel_job(&id(), NOW + Millis(100));
+    cell.cancel_job(&id(), Millis(0), NOW + Millis(100));
     assert_eq!(orders(&mut cell, NOW + Millis(110)).1, 1);
     cell.start_answered(&order, StartAnswer::Unanswered, NOW + Millis(350));
     cell.stop_answered(&worker(), &order.task, order.attempt, false, NOW + Millis(800));
@@ -111,7 +111,7 @@
     let order = start(&mut cell());
     let mut next = cell();
     next.restore(record(), None, NOW);
-    next.cancel_job(&id(), NOW);
+    next.cancel_job(&id(), Millis(0), NOW);
     poll(&mut next, vec![active(&order)], NOW + Millis(50));
     let (starts, stops) = orders(&mut next, NOW + Millis(60));
     assert_eq!((starts.len(), stops), (0, 1));
