--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -752,7 +752,7 @@
         }
         let delay = self.delay_ms();
         let incarnation = self.incarnation(&worker);
-        if self.chance(self.faults.late_poll) {
+        if self.faults.late_poll > 0 && self.chance(self.faults.late_poll) {
             let late_ms = self.rng.random_range(1_000..12_000);
             let (worker, order) = (worker.clone(), order.clone());
             // No leader waits for the answer.
