--- /dev/null
+++ b/review/stand_in_2/http.rs
@@ -0,0 +1,224 @@
+//! HTTP/1.1 over TCP: a server with a thread a connection, and a client that opens one a call.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map_or("", |(_, value)| value)
+    }
+
+    /// A value of the query, with percent signs decoded.
+    pub fn param(&self, name: &str) -> String {
+        for pair in self.query.split('&') {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            if key == name {
+                return decode_percent(value);
+            }
+        }
+        String::new()
+    }
+}
+
+fn decode_percent(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = bytes.get(at + 1..at + 3).and_then(|hex| std::str::from_utf8(hex).ok());
+        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+            (b'%', Some(byte)) => {
+                out.push(byte);
+                at += 3;
+            }
+            (byte, _) => {
+                out.push(byte);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// What a server does with a request.
+pub enum Reply {
+    Answer(u16, String),
+    /// The connection is closed without an answer.
+    Close,
+    /// There is no answer, and the connection stays open until the caller closes it.
+    Silence,
+}
+
+type Handler = dyn Fn(Request) -> Reply + Send + Sync;
+
+/// A server that can stop, as a process that is killed does, and start again at the same address.
+pub struct Server {
+    pub address: SocketAddr,
+    handler: Arc<Handler>,
+    run: Mutex<Option<Arc<Run>>>,
+}
+
+/// One life of a server.
+struct Run {
+    up: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
+}
+
+/// A free loopback address.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl Server {
+    pub fn new(handler: impl Fn(Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
+        let server = Arc::new(Server {
+            address: free_address(),
+            handler: Arc::new(handler),
+            run: Mutex::new(None),
+        });
+        server.start();
+        server
+    }
+
+    pub fn start(&self) {
+        let listener = TcpListener::bind(self.address).expect("the address is free");
+        listener.set_nonblocking(true).expect("non-blocking");
+        let run = Arc::new(Run { up: AtomicBool::new(true), streams: Mutex::default() });
+        *self.run.lock().unwrap() = Some(run.clone());
+        let handler = self.handler.clone();
+        std::thread::spawn(move || {
+            while run.up.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        stream.set_nonblocking(false).ok();
+                        let mut streams = run.streams.lock().unwrap();
+                        streams.retain(|stream| stream.peer_addr().is_ok());
+                        streams.extend(stream.try_clone());
+                        drop(streams);
+                        let (handler, run) = (handler.clone(), run.clone());
+                        std::thread::spawn(move || serve(stream, &*handler, &run));
+                    }
+                    Err(_) => std::thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub fn stop(&self) {
+        let Some(run) = self.run.lock().unwrap().take() else { return };
+        run.up.store(false, Ordering::SeqCst);
+        for stream in run.streams.lock().unwrap().drain(..) {
+            stream.shutdown(Shutdown::Both).ok();
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn serve(stream: TcpStream, handler: &Handler, run: &Run) {
+    stream.set_nodelay(true).ok();
+    let Ok(reading) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(reading);
+    let mut writer = stream;
+    while let Some(request) = read_request(&mut reader) {
+        if !run.up.load(Ordering::SeqCst) {
+            break;
+        }
+        let reply = handler(request);
+        if !run.up.load(Ordering::SeqCst) {
+            break;
+        }
+        match reply {
+            Reply::Answer(status, body) => {
+                let head = format!(
+                    "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                    body.len()
+                );
+                if writer.write_all((head + &body).as_bytes()).is_err() {
+                    break;
+                }
+            }
+            Reply::Close => break,
+            Reply::Silence => {
+                let mut rest = [0; 64];
+                while reader.read(&mut rest).is_ok_and(|read| read > 0) {}
+                break;
+            }
+        }
+    }
+    writer.shutdown(Shutdown::Both).ok();
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    let mut words = line.split_whitespace();
+    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let (headers, body) = read_rest(reader)?;
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    Some(Request { method, path: path.to_owned(), query: query.to_owned(), headers, body })
+}
+
+fn read_rest(reader: &mut BufReader<TcpStream>) -> Option<(Vec<(String, String)>, String)> {
+    let mut headers = Vec::new();
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        let (key, value) = line.split_once(':')?;
+        if key.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse().ok()?;
+        }
+        headers.push((key.to_owned(), value.trim().to_owned()));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((headers, String::from_utf8(body).ok()?))
+}
+
+/// Calls a server. None without a complete answer in time.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    timeout: Duration,
+) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    stream.set_nodelay(true).ok()?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\n");
+    for (key, value) in headers {
+        head += &format!("{key}: {value}\r\n");
+    }
+    if !body.is_empty() {
+        head += "Content-Type: application/json\r\n";
+    }
+    head += &format!("Content-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let status = line.split_whitespace().nth(1)?.parse().ok()?;
+    let (_, body) = read_rest(&mut reader)?;
+    Some((status, body))
+}
