--- a/review/stand_in_2/http.rs
+++ b/review/stand_in_2/http.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 over TCP: a server with a thread a connection, and a client that opens one a call.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -77,10 +77,19 @@
     streams: Mutex<Vec<TcpStream>>,
 }
 
-/// A free loopback address.
+/// A free loopback address. Each play has an address of its own in 127.0.0.0/8, and ports below those that
+/// the system gives to outgoing connections, so that a server that stops finds its port free later.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 77, third, fourth.clamp(1, 254));
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        assert!(port < 30_000, "no port is free");
+        if let Ok(listener) = TcpListener::bind((ip, port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 impl Server {
