Review case 8: a start is sent again to the next life of its runner

Cause: an unanswered start is repeated with the fence number of the runner's former life and without a look at its entry, and the new life, of another kind, begins it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the scripts in review/6 and later: the standard library only.
+# Builds the stand-ins of the scripts in review/6 and review/8: the standard library only.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/stand_in_2/cases.rs
+++ b/review/stand_in_2/cases.rs
@@ -1,9 +1,10 @@
 //! The cases.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crate::deployment::{Deployment, SERVICE, cannot_run};
+use crate::deployment::{Deployment, PREFIX, SERVICE, cannot_run};
 use crate::record::Record;
 use crate::runner::Kind;
 use crate::{Play, Verdict};
@@ -12,8 +13,8 @@
 
 pub fn play(case: &str, play: &Play, noting: Noting<'_>) -> Option<Verdict> {
     match case {
-        "crashing-runner" => Some(crashing_runner(play, noting)),
         "slow-then-alone" => Some(slow_then_alone(play, noting)),
+        "reborn-as-another-kind" => Some(reborn_as_another_kind(play, noting)),
         _ => None,
     }
 }
@@ -45,43 +46,6 @@
     deployment
 }
 
-/// A runner crashes and comes back, again and again, under a task that lasts and needs it.
-fn crashing_runner(play: &Play, noting: Noting<'_>) -> Verdict {
-    const JOB: &str = "00000000000000a1";
-    let deployment = start(play, noting, 3, kinds(8, 7));
-    let body = "{\"spec\":\"work=lasts\",\"phases\":[{\"count\":1,\"cpu\":1000,\"memMb\":512,\
-                \"estimatedMs\":500,\"longRunning\":true,\"requirements\":\"b\"}]}";
-    deployment.submit(JOB, body);
-    let other = "{\"spec\":\"work=lasts\",\"phases\":[{\"count\":8,\"cpu\":1000,\"memMb\":512,\
-                 \"estimatedMs\":500,\"longRunning\":true,\"requirements\":\"a\"}]}";
-    deployment.submit("00000000000000a2", other);
-    sleep_ms(8_000);
-    let special = &deployment.runners[7];
-    let mut broken = false;
-    for _ in 0..5 {
-        if play.trouble {
-            special.crash();
-        }
-        sleep_ms(2_000);
-        if play.trouble {
-            special.restart();
-        }
-        for _ in 0..5 {
-            sleep_ms(1_000);
-            broken |= deployment.state(JOB).is_some_and(|state| state == "failed");
-        }
-    }
-    // All is calm from here on.
-    for _ in 0..10 {
-        sleep_ms(1_000);
-        broken |= deployment.state(JOB).is_some_and(|state| state == "failed");
-    }
-    let ends = deployment.runs.all();
-    let failed = ends.iter().filter(|run| run.end.is_some_and(|(_, how)| how == "failed")).count();
-    deployment.record.note(format!("runs that ended as failed: {failed}"));
-    if broken && failed == 0 { Verdict::Broken } else { Verdict::Held }
-}
-
 /// The leader's machine turns slow for some seconds and hands over. Later the others are lost.
 fn slow_then_alone(play: &Play, noting: Noting<'_>) -> Verdict {
     const JOB: &str = "00000000000000b1";
@@ -141,3 +105,68 @@
     }
     if broken { Verdict::Broken } else { Verdict::Held }
 }
+
+/// A runner loses power for a moment, and comes back under its id as one of another kind.
+fn reborn_as_another_kind(play: &Play, noting: Noting<'_>) -> Verdict {
+    let deployment = start(play, noting, 3, kinds(8, 7));
+    let special = &deployment.runners[7];
+    let rack = special.kind.labels[1].clone();
+    let is_over = AtomicBool::new(false);
+    let wrong = || {
+        let runs = deployment.runs.all();
+        runs.into_iter().find(|run| run.runner == special.kind.id && run.labels[0] != "b")
+    };
+    std::thread::scope(|scope| {
+        // Six jobs a second that need kind `b`, whatever happens to the runner.
+        scope.spawn(|| {
+            let body = "{\"spec\":\"work=200\",\"phases\":[{\"count\":1,\"cpu\":100,\"memMb\":64,\
+                        \"estimatedMs\":200,\"requirements\":\"b\"}]}";
+            for number in 0u64.. {
+                if is_over.load(Ordering::SeqCst) {
+                    return;
+                }
+                let node = &deployment.nodes[number as usize % 3];
+                deployment.request(
+                    node,
+                    "POST",
+                    &format!("{PREFIX}{:016x}", 0xc000 + number),
+                    body,
+                );
+                sleep_ms(165);
+            }
+        });
+        sleep_ms(4_000);
+        for outage_ms in [750, 850, 950, 1_050, 750, 850, 950, 1_050] {
+            if play.trouble {
+                special.lose_power();
+            }
+            sleep_ms(outage_ms);
+            if play.trouble {
+                special.regain_power(vec!["a".to_owned(), rack.clone()]);
+            }
+            sleep_ms(4_000);
+            if wrong().is_some() {
+                break;
+            }
+            if play.trouble {
+                special.lose_power();
+            }
+            sleep_ms(outage_ms);
+            if play.trouble {
+                special.regain_power(vec!["b".to_owned(), rack.clone()]);
+            }
+            sleep_ms(4_000);
+        }
+        is_over.store(true, Ordering::SeqCst);
+    });
+    match wrong() {
+        Some(run) => {
+            deployment.record.note(format!(
+                "{} needs a runner of kind b, and began on {} in a life of kind {}",
+                run.task, run.runner, run.labels[0]
+            ));
+            Verdict::Broken
+        }
+        None => Verdict::Held,
+    }
+}
--- a/review/stand_in_2/deployment.rs
+++ b/review/stand_in_2/deployment.rs
@@ -1,13 +1,12 @@
-//! A small deployment: processes of the system, each with a server of the store of its own, and runners.
+//! A small deployment: processes of the system, the store, and runners.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{self, Reply, Server, call};
+use crate::http::{self, Server, call};
 use crate::json::Json;
 use crate::record::Record;
 use crate::runner::{Kind, Runner, Runs};
@@ -20,11 +19,6 @@
 /// How long consumers wait for an answer.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// How the store treats one process.
-pub const SERVES: u8 = 0;
-pub const BUSY: u8 = 1;
-pub const SILENT: u8 = 2;
-
 /// Processes that were started and have not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -42,7 +36,6 @@
     program: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
-    pub store_mode: Arc<AtomicU8>,
 }
 
 impl Node {
@@ -94,10 +87,10 @@
 pub struct Deployment {
     pub record: Arc<Record>,
     pub runs: Arc<Runs>,
-    pub store: Arc<Store>,
+    _store: Arc<Store>,
     pub nodes: Vec<Arc<Node>>,
     pub runners: Vec<Arc<Runner>>,
-    _store_servers: Vec<Arc<Server>>,
+    _store_server: Arc<Server>,
 }
 
 /// A route of the configuration.
@@ -125,17 +118,11 @@
         let store = Store::new();
         let runs = Arc::new(Runs::default());
         store.write("op/config", &configuration());
-        let mut store_servers = Vec::new();
+        let serving = store.clone();
+        let store_server = Server::new(move |request| serving.answer(&request));
         let zones = ["zone-a", "zone-b", "zone-c"];
         let nodes: Vec<Arc<Node>> = (0..nodes)
             .map(|number| {
-                let mode = Arc::new(AtomicU8::new(SERVES));
-                let (serving, its_mode) = (store.clone(), mode.clone());
-                let server = Server::new(move |request| match its_mode.load(Ordering::SeqCst) {
-                    BUSY => Reply::Answer(503, "{}".to_owned()),
-                    SILENT => Reply::Silence,
-                    _ => serving.answer(&request),
-                });
                 let name = format!("frontend-{number}");
                 let settings = folder.join(format!("{name}.yaml"));
                 let callers = http::free_address();
@@ -149,17 +136,15 @@
                     http::free_address(),
                     http::free_address(),
                     http::free_address(),
-                    server.address,
+                    store_server.address,
                 );
                 std::fs::write(&settings, text).expect("settings are written");
-                store_servers.push(server);
                 Arc::new(Node {
                     callers,
                     settings,
                     program: root.join("target/release/carobsill-node"),
                     log: folder.join(format!("{name}.log")),
                     child: Mutex::new(None),
-                    store_mode: mode,
                     name,
                 })
             })
@@ -167,7 +152,7 @@
         let runners =
             kinds.into_iter().map(|kind| Runner::new(kind, &store, &record, &runs)).collect();
         let deployment =
-            Deployment { record, runs, store, nodes, runners, _store_servers: store_servers };
+            Deployment { record, runs, _store: store, nodes, runners, _store_server: store_server };
         deployment.nodes.iter().for_each(|node| node.start());
         deployment.wait_until("a leader with all runners", 15, || {
             deployment.leader().is_some_and(|leader| {
@@ -202,7 +187,13 @@
     }
 
     /// Sends a consumer's request to a process, and notes it with its answer.
-    pub fn request(&self, node: &Node, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub fn request(
+        &self,
+        node: &Node,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let headers = [("Host", HOST), ("Credential", KEY), ("Deadline-Ms", "3000")];
         let answer = call(node.callers, method, path, &headers, body, CALLER_TIMEOUT);
         let shown = match &answer {
@@ -227,13 +218,6 @@
         }
         cannot_run("a job is accepted")
     }
-
-    /// State of a job as a process that runs shows it; none without a plain answer.
-    pub fn state(&self, id: &str) -> Option<String> {
-        let node = self.nodes.iter().find(|node| node.pid().is_some())?;
-        let (status, body) = self.request(node, "GET", &format!("{PREFIX}{id}"), "")?;
-        (status == 200).then(|| Json::parse(&body).map(|body| body.get("state").text().to_owned()))?
-    }
 }
 
 impl Drop for Deployment {
--- a/review/stand_in_2/http.rs
+++ b/review/stand_in_2/http.rs
@@ -64,7 +64,7 @@
 
 type Handler = dyn Fn(Request) -> Reply + Send + Sync;
 
-/// A server that can stop, as a process that is killed does, and start again at the same address.
+/// A server that can lose power, and start again at the same address.
 pub struct Server {
     pub address: SocketAddr,
     handler: Arc<Handler>,
@@ -74,7 +74,8 @@
 /// One life of a server.
 struct Run {
     up: AtomicBool,
-    streams: Mutex<Vec<TcpStream>>,
+    /// Its machine has no power: nothing is answered, and no connection is closed.
+    dark: AtomicBool,
 }
 
 /// A free loopback address. Each play has an address of its own in 127.0.0.0/8, and ports below those that
@@ -104,9 +105,18 @@
     }
 
     pub fn start(&self) {
-        let listener = TcpListener::bind(self.address).expect("the address is free");
+        // The thread of the former life may hold the address for a moment.
+        let listener = (0..200)
+            .find_map(|_| {
+                let bound = TcpListener::bind(self.address).ok();
+                if bound.is_none() {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                bound
+            })
+            .expect("the address is free");
         listener.set_nonblocking(true).expect("non-blocking");
-        let run = Arc::new(Run { up: AtomicBool::new(true), streams: Mutex::default() });
+        let run = Arc::new(Run { up: AtomicBool::new(true), dark: AtomicBool::new(false) });
         *self.run.lock().unwrap() = Some(run.clone());
         let handler = self.handler.clone();
         std::thread::spawn(move || {
@@ -114,10 +124,6 @@
                 match listener.accept() {
                     Ok((stream, _)) => {
                         stream.set_nonblocking(false).ok();
-                        let mut streams = run.streams.lock().unwrap();
-                        streams.retain(|stream| stream.peer_addr().is_ok());
-                        streams.extend(stream.try_clone());
-                        drop(streams);
                         let (handler, run) = (handler.clone(), run.clone());
                         std::thread::spawn(move || serve(stream, &*handler, &run));
                     }
@@ -127,14 +133,19 @@
         });
     }
 
-    /// Closes all connections and refuses new ones.
-    pub fn stop(&self) {
-        let Some(run) = self.run.lock().unwrap().take() else { return };
-        run.up.store(false, Ordering::SeqCst);
-        for stream in run.streams.lock().unwrap().drain(..) {
-            stream.shutdown(Shutdown::Both).ok();
+    /// Stops listening at once, and leaves the connections of a dark server open: callers hear nothing.
+    pub fn abandon(&self) {
+        if let Some(run) = self.run.lock().unwrap().take() {
+            run.up.store(false, Ordering::SeqCst);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Answers nothing more, and leaves all connections open.
+    pub fn go_dark(&self) {
+        if let Some(run) = &*self.run.lock().unwrap() {
+            run.dark.store(true, Ordering::SeqCst);
         }
-        std::thread::sleep(Duration::from_millis(10));
     }
 }
 
@@ -144,13 +155,9 @@
     let mut reader = BufReader::new(reading);
     let mut writer = stream;
     while let Some(request) = read_request(&mut reader) {
-        if !run.up.load(Ordering::SeqCst) {
-            break;
-        }
-        let reply = handler(request);
-        if !run.up.load(Ordering::SeqCst) {
-            break;
-        }
+        let is_dark = || run.dark.load(Ordering::SeqCst);
+        let reply = if is_dark() { Reply::Silence } else { handler(request) };
+        let reply = if is_dark() { Reply::Silence } else { reply };
         match reply {
             Reply::Answer(status, body) => {
                 let head = format!(
--- a/review/stand_in_2/json.rs
+++ b/review/stand_in_2/json.rs
@@ -61,7 +61,9 @@
         match letter {
             '"' => quoted.push_str("\\\""),
             '\\' => quoted.push_str("\\\\"),
-            letter if (letter as u32) < 0x20 => quoted.push_str(&format!("\\u{:04x}", letter as u32)),
+            letter if (letter as u32) < 0x20 => {
+                quoted.push_str(&format!("\\u{:04x}", letter as u32))
+            }
             letter => quoted.push(letter),
         }
     }
--- a/review/stand_in_2/runner.rs
+++ b/review/stand_in_2/runner.rs
@@ -1,5 +1,5 @@
-//! Stand-in of a runner. It does what its orders say, as the platform's pages tell, and can be killed and
-//! started again under its id.
+//! Stand-in of a runner. It does what its orders say, as the platform's pages tell, and can lose power and
+//! start again under its id.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -33,13 +33,14 @@
 #[derive(Debug, Clone)]
 pub struct RunLog {
     pub task: String,
-    pub attempt: u64,
     pub runner: String,
     pub began_ms: u64,
     /// End and how; none while it runs.
     pub end: Option<(u64, &'static str)>,
     /// When `ackSeq` reached its end.
     pub acked_ms: Option<u64>,
+    /// Labels of the runner in that life.
+    pub labels: Vec<String>,
 }
 
 /// All runs of a deployment.
@@ -78,6 +79,7 @@
 /// State of one boot.
 struct Boot {
     began: Instant,
+    labels: Vec<String>,
     born_ms: u64,
     fence: u64,
     lease_until: Option<Instant>,
@@ -101,7 +103,9 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
 }
 
 /// A text such as `work=5000` takes 5 s; `work=lasts` lasts.
@@ -123,7 +127,12 @@
 }
 
 impl Runner {
-    pub fn new(kind: Kind, store: &Arc<Store>, record: &Arc<Record>, runs: &Arc<Runs>) -> Arc<Runner> {
+    pub fn new(
+        kind: Kind,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        runs: &Arc<Runs>,
+    ) -> Arc<Runner> {
         let runner = Arc::new_cyclic(|this: &std::sync::Weak<Runner>| {
             let this = this.clone();
             let server = Server::new(move |request| match this.upgrade() {
@@ -141,7 +150,7 @@
                 runs: runs.clone(),
             }
         });
-        runner.boot();
+        runner.boot(runner.kind.labels.clone());
         let ticking = Arc::downgrade(&runner);
         std::thread::spawn(move || {
             let mut beat = Instant::now();
@@ -158,8 +167,9 @@
         runner
     }
 
-    fn boot(&self) {
+    fn boot(&self, labels: Vec<String>) {
         *self.boot.lock().unwrap() = Some(Boot {
+            labels,
             began: Instant::now(),
             born_ms: unix_ms(),
             fence: 0,
@@ -173,42 +183,40 @@
         self.report();
     }
 
-    /// Kills the process: connections are reset, and all that it knew is gone.
-    pub fn crash(&self) {
-        self.record.note(format!("runner {} crashes", self.kind.id));
+    /// The machine loses power: all that the runner knew is gone, and callers get no answer.
+    pub fn lose_power(&self) {
+        self.record.note(format!("runner {} loses power", self.kind.id));
         if let Some(server) = &*self.server.lock().unwrap() {
-            server.stop();
+            server.go_dark();
         }
-        let mut boot = self.boot.lock().unwrap();
-        if let Some(boot) = boot.take() {
+        if let Some(boot) = self.boot.lock().unwrap().take() {
             for (task, active) in &boot.active {
                 self.log_end(task, active.attempt, active.log, "lost with its runner");
             }
         }
-        drop(boot);
         self.ended.notify_all();
     }
 
-    /// Starts it again under the same id and address.
-    pub fn restart(&self) {
-        self.record.note(format!("runner {} is back", self.kind.id));
-        self.boot();
-        if let Some(server) = &*self.server.lock().unwrap() {
-            server.start();
-        }
-    }
-
-    /// The entry of a runner that has been silent for three intervals is removed.
-    pub fn unlist(&self) {
-        self.store.delete(&format!("servers/{}", self.kind.id));
+    /// The power is back, and the runner starts with other labels. It has written its entry by then.
+    pub fn regain_power(&self, labels: Vec<String>) {
+        self.record.note(format!(
+            "runner {} is back with labels {}",
+            self.kind.id,
+            labels.join(", ")
+        ));
+        let server = self.server.lock().unwrap();
+        let Some(server) = &*server else { return };
+        server.abandon();
+        self.boot(labels);
+        server.start();
     }
 
     fn report(&self) {
         let mut boot = self.boot.lock().unwrap();
         let Some(boot) = boot.as_mut() else { return };
         boot.sequence += 1;
-        let Kind { id, service, zone, labels, cpu, mem_mb } = &self.kind;
-        let labels: Vec<String> = labels.iter().map(|label| quote(label)).collect();
+        let Kind { id, service, zone, cpu, mem_mb, .. } = &self.kind;
+        let labels: Vec<String> = boot.labels.iter().map(|label| quote(label)).collect();
         let entry = format!(
             "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\
              \"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{cpu},\"memMb\":{mem_mb},\"gpu\":0}},\"labels\":[{}],\
@@ -305,11 +313,11 @@
                 let spec = body.get("spec").text();
                 let log = self.runs.begin(RunLog {
                     task: task.clone(),
-                    attempt,
                     runner: self.kind.id.clone(),
                     began_ms: self.record.now_ms(),
                     end: None,
                     acked_ms: None,
+                    labels: boot.labels.clone(),
                 });
                 self.record.note(format!("runner {}: {task} run {attempt} begins", self.kind.id));
                 let active =
@@ -374,7 +382,9 @@
         .finished
         .iter()
         .take(500)
-        .map(|end| format!("[{},{},{},\"{}\",\"\"]", end.number, quote(&end.task), end.attempt, end.how))
+        .map(|end| {
+            format!("[{},{},{},\"{}\",\"\"]", end.number, quote(&end.task), end.attempt, end.how)
+        })
         .collect();
     format!(
         "{{\"clockMs\":{},\"born\":{},\"active\":[{}],\"finished\":[{}]}}",
--- a/review/stand_in_2/store.rs
+++ b/review/stand_in_2/store.rs
@@ -1,5 +1,4 @@
-//! Stand-in of the platform's store. Each process of the system gets a server of its own, so that the
-//! store can turn one away.
+//! Stand-in of the platform's store.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex};
@@ -50,7 +49,8 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = (0..3).fold(0u32, |bits, at| bits << 8 | u32::from(*chunk.get(at).unwrap_or(&0)));
+        let bits =
+            (0..3).fold(0u32, |bits, at| bits << 8 | u32::from(*chunk.get(at).unwrap_or(&0)));
         for at in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * at) & 63) as usize] as char;
             text.push(if at <= chunk.len() { digit } else { '=' });
@@ -125,15 +125,6 @@
         self.changed.notify_all();
     }
 
-    pub fn delete(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let revision = state.revision;
-        state.remove(key, revision);
-        drop(state);
-        self.changed.notify_all();
-    }
-
     /// Answers a call of the system.
     pub fn answer(&self, request: &Request) -> Reply {
         std::thread::sleep(Duration::from_millis(4));
@@ -266,13 +257,19 @@
             return Reply::Answer(403, "{}".to_owned());
         }
         let lease_of = |row: &Json| row.get("leaseId").whole();
-        if writes.iter().any(|row| lease_of(row) > 0 && !state.leases.contains_key(&lease_of(row))) {
+        if writes.iter().any(|row| lease_of(row) > 0 && !state.leases.contains_key(&lease_of(row)))
+        {
             return Reply::Answer(404, "{}".to_owned());
         }
         state.revision += 1;
         let revision = state.revision;
         for row in writes {
-            state.put(row.get("key").text(), row.get("value").text().to_owned(), lease_of(row), revision);
+            state.put(
+                row.get("key").text(),
+                row.get("value").text().to_owned(),
+                lease_of(row),
+                revision,
+            );
         }
         for key in removed {
             state.remove(key.text(), revision);
