A process in cooldown stands for election after 1.5 s without a leader

Cause: find_leader did not stand during the cooldown of 30 s, whether or not another process could lead. The store and the workers are ruled out: the process led at once when its cooldown ended.

The cooldown is now a reason to leave an election to others for 1.5 s, as the other reasons are for 1 s. Related: a process that could not load the state, by the same check, and the time without a leader, which did not start anew when a process learned of a leader from a peer.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -21,6 +21,9 @@
 const NO_RULES_DELAY_MS: Millis = Millis(1_000);
 /// Time for which a process on a slow machine leaves the election to others.
 const SLOW_MACHINE_DELAY_MS: Millis = Millis(1_000);
+/// Time for which a process in cooldown leaves the election to all others, which stand within a
+/// second. The leases on workers outlast it, so that no work is lost if this process is the only one.
+const COOLDOWN_DELAY_MS: Millis = Millis(1_500);
 /// Time without an answer from the store after which peers are contacted, to learn the leader.
 const CONTACT_PEERS_AFTER_MS: Millis = Millis(600);
 
@@ -53,7 +56,7 @@
                 }
                 Err(error) => event!("leader.decode_failed", "error" => error.to_string()),
             },
-            Ok(None) if self.stopping.is_cancelled() || self.cooling_down() => {}
+            Ok(None) if self.stopping.is_cancelled() => {}
             Ok(None) => self.campaign(NO_LEADER).await,
             Err(_recorded) => {
                 if clock::now().since(self.store_answered_ms.get()) > CONTACT_PEERS_AFTER_MS {
@@ -85,6 +88,11 @@
         self.speed.borrow().seems_slow()
     }
 
+    /// Whether this process is in cooldown, and the time reserved for others has not passed.
+    fn defers_in_cooldown(&self, leaderless_ms: Millis) -> bool {
+        leaderless_ms < COOLDOWN_DELAY_MS && self.cooling_down()
+    }
+
     /// Time since this process first saw that there is no leader.
     fn leaderless_ms(&self) -> Millis {
         let now = clock::now();
@@ -152,6 +160,7 @@
         if self.defers_to_larger_peer(last.max_cpu_milli, leaderless_ms)
             || self.defers_without_rules(leaderless_ms)
             || self.defers_while_slow(leaderless_ms)
+            || self.defers_in_cooldown(leaderless_ms)
         {
             return Ok(());
         }
@@ -189,7 +198,8 @@
         };
         match revision {
             Some(revision) => {
-                event!("leader.elected", "epoch" => info.epoch, "name" => info.peer.name.as_str());
+                event!("leader.elected", "epoch" => info.epoch, "name" => info.peer.name.as_str(),
+                    "leaderless_ms" => leaderless_ms.0, "in_cooldown" => self.cooling_down());
                 self.leaderless_since_ms.set(None);
                 *self.leader.borrow_mut() = Some(info.clone());
                 let leader = Leader::new(self, info.epoch, revision, lease, sent_ms);
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -41,8 +41,8 @@
 const PEER_TIMEOUT_MS: Millis = Millis(1_500);
 /// A gap between two ticks that is logged as a pause of the process.
 const STALL_MS: Millis = Millis(700);
-/// Time for which a process that was too slow to lead, or could not load the state, does not stand
-/// for election.
+/// Time for which a process that was too slow to lead, or could not load the state, leaves elections
+/// to others.
 pub(crate) const LEADER_COOLDOWN_MS: Millis = Millis(30_000);
 /// Period of measuring the speed of the machine while another process leads.
 const SPEED_PERIOD_MS: Millis = Millis(500);
@@ -133,7 +133,7 @@
     pub(crate) invalid_input_log: RefCell<LogLimit>,
     pub(crate) stopping: CancellationToken,
     pub(crate) speed: RefCell<SpeedMonitor>,
-    /// Does not stand for election before this time.
+    /// Leaves elections to others until this time.
     pub(crate) cooldown_until_ms: StdCell<Millis>,
     /// Since when the store has had no leader, as seen by this process.
     pub(crate) leaderless_since_ms: StdCell<Option<Millis>>,
@@ -313,6 +313,7 @@
             return;
         }
         event!("leader.learned", "epoch" => leader.epoch, "name" => leader.peer.name.as_str());
+        self.leaderless_since_ms.set(None);
         *self.leader.borrow_mut() = Some(leader.clone());
         let deposed =
             self.leadership.borrow().as_ref().is_some_and(|own| own.epoch() < leader.epoch);
--- a/components/cluster/tests/election.rs
+++ b/components/cluster/tests/election.rs
@@ -95,6 +95,27 @@
     });
 }
 
+/// Guards against a process that rests for 30 s after it could not load the state, although no other
+/// could lead.
+#[test]
+fn a_process_that_could_not_load_the_state_tries_again_when_it_is_alone() {
+    let environment = Rc::new(Environment::default());
+    run(async {
+        environment.ranges_fail.set(true);
+        let only = node("one", &environment);
+        let yielded = || elections(&environment) == 1 && environment.value("leader").is_none();
+        // The process gives up after 4 s.
+        let has_yielded = run_node_until(only, yielded).await;
+        assert!(has_yielded, "the leader has not yielded");
+        environment.ranges_fail.set(false);
+        let until = clock::now() + Millis(3_000);
+        while environment.value("leader").is_none() {
+            assert!(clock::now() < until, "nobody leads");
+            tokio::time::sleep(Millis(20).to_duration()).await;
+        }
+    });
+}
+
 /// Share of a core of a small process.
 const SMALL_CPU_MILLI: u32 = 120;
 /// Longer than five elections of processes that yield after a second.
