--- a/components/cell/tests/simulation/worker.rs
+++ b/components/cell/tests/simulation/worker.rs
@@ -17,7 +17,7 @@
 
 /// Time after which members of an incomplete gang end.
 const GANG_TIMEOUT_MS: Millis = Millis(3_000);
-/// Longest lease; longer requests are cut to this.
+/// Longest lease of a usual worker; longer requests are cut to this.
 pub const MAX_LEASE_MS: Millis = Millis(6_000);
 /// Time after which a smaller capacity counts: the least of the platform's bounds, without the beat.
 const SHRINK_GRACE_MS: Millis = Millis(3_000);
@@ -67,6 +67,8 @@
     pub run_time_percent: u64,
     clock_start_ms: Millis,
     pub incarnation_unix_ms: u64,
+    /// Longest lease that it grants.
+    pub max_lease_ms: Millis,
     deadline_ms: Millis,
     highest_attempts: BTreeMap<TaskKey, u32>,
     ended: Vec<EndedRun>,
@@ -101,6 +103,7 @@
             run_time_percent: 100,
             clock_start_ms: Millis(0),
             incarnation_unix_ms: 1_000,
+            max_lease_ms: MAX_LEASE_MS,
             deadline_ms: Millis(0),
             highest_attempts: BTreeMap::new(),
             ended: Vec::new(),
@@ -281,7 +284,7 @@
         if order.deadline_ms < self.clock(now) {
             return StartAnswer::Refused(Refusal::DeadlinePassed);
         }
-        let max = self.clock(now) + MAX_LEASE_MS;
+        let max = self.clock(now) + self.max_lease_ms;
         self.deadline_ms = self.deadline_ms.max(order.deadline_ms.min(max));
         self.highest_attempts.insert(order.task.clone(), order.attempt);
         let spec = &order.record.spec.steps[usize::from(order.task.step.step)];
@@ -334,7 +337,7 @@
             self.voided_end = self.end_count;
         }
         if let Some(deadline) = order.deadline_ms {
-            let max = self.clock(now) + MAX_LEASE_MS;
+            let max = self.clock(now) + self.max_lease_ms;
             self.deadline_ms = self.deadline_ms.max(deadline.min(max));
         }
         if order.ack > self.acked_end && order.ack <= self.end_count {
