Answers of former incarnations are told by when their polls were sent

Only answers to polls from before the restart are those of a former incarnation.

A worker that a leader without its lease may not use yet was polled without waiting; it is only while its former runs are not settled.

--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -89,15 +89,16 @@
         now: Millis,
     ) {
         let (lease_ms, max_lease_ms) = (self.settings.lease_ms, self.settings.max_lease_ms);
-        let leads_for_sure = self.start_permission == StartPermission::AllJobs;
+        let holds_lease = self.start_permission == StartPermission::AllJobs;
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.attached && sent_ms < worker.last_poll_sent_ms {
             // The answer to a poll that was sent later was processed before.
             return;
         }
         let is_first = worker.last_answer_ms == Millis(0);
-        if !is_first && answer.incarnation_unix_ms < worker.incarnation_unix_ms {
-            // A later incarnation has answered before.
+        let is_of_former = answer.incarnation_unix_ms < worker.incarnation_unix_ms;
+        if is_of_former && !worker.is_fenced_by_poll(sent_ms) {
+            // Its successor has answered before.
             return;
         }
         worker.last_poll_sent_ms = sent_ms;
@@ -127,7 +128,7 @@
         }
         worker.bound_leases(lease_ms, max_lease_ms, now);
         // A successor that was elected unnoticed does not know of longer leases.
-        let may_attach = leads_for_sure || !worker.may_have_long_leases(now);
+        let may_attach = holds_lease || !worker.may_have_long_leases(now);
         // A task whose end the answer does not show may be done.
         let newly_attached = !worker.attached && !answer.more_ended && may_attach;
         for end in &answer.ended {
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -250,7 +250,7 @@
         let is_idle = worker.runs.values().all(|run| {
             run.state == RunState::Running && run.estimate_ms == Millis(0) && run.percent >= 100
         });
-        let wait_ms = match (wait && worker.attached, is_idle) {
+        let wait_ms = match (wait && !worker.has_former_runs, is_idle) {
             (false, _) => Millis(0),
             (true, false) => self.settings.poll_wait_ms,
             (true, true) => idle_wait_ms.min(Millis(lease_ms.0 / 2)),
