--- a/components/cell/tests/restarts.rs
+++ b/components/cell/tests/restarts.rs
@@ -364,3 +364,19 @@
         assert!(started_ms > ends_ms, "entry at {entry_ms}: started at {started_ms}");
     }
 }
+
+/// Guards against a worker that is lost for good: its clock was set back between two lives, so that the new one
+/// reports an earlier start, and all its answers were taken for late ones of the former incarnation.
+#[test]
+fn a_worker_whose_clock_was_set_back_is_not_ignored() {
+    let mut first = Restarted::new();
+    poll(&mut first.cell, "w0", 6, vec![run_of(&first.order)], Millis(2_000));
+    first.cell.worker_listed(listed("w1", 5), Millis(2_000));
+    poll(&mut first.cell, "w1", 5, Vec::new(), Millis(2_010));
+    for number in 0..3 {
+        poll(&mut first.cell, "w0", 4, Vec::new(), Millis(2_100 + 100 * number));
+        store(&mut first.cell);
+    }
+    let again = starts(&mut first.cell, Millis(2_500));
+    assert_eq!(again.len(), 1, "the run of the former life is lost");
+}
