--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use crate::record::unix_ms;
 use crate::runner::{Power, Runner};
 use crate::site::Site;
 
@@ -226,3 +227,53 @@
     }
     Ok(())
 }
+
+/// Large jobs come at once: recurring ones, whose first times have passed. LOST: `finish_s` after the end of
+/// the traffic a job that waits has nothing running for 3 s, with the capacity free.
+pub fn repeats(site: &Site, trouble: bool) -> Played {
+    const FINISH_MS: u64 = 14_000;
+    const JOBS: u64 = 5;
+    let _runners: Vec<Arc<Runner>> = (0..10).map(|number| site.runner(number, "a", 0)).collect();
+    let ended = site.limit_memory();
+    site.sleep(3_000);
+    // One occurrence a minute, the first a week ago.
+    let since_ms = unix_ms() - 7 * 24 * 3_600_000;
+    let phases = "\"phases\":[{\"count\":60,\"cpu\":1000,\"memMb\":256,\"estimatedMs\":1000}]";
+    let began = site.world.record.now_ms();
+    let mut accepted = Vec::new();
+    let mut is_due = trouble;
+    while site.world.record.now_ms() < began + 25_000 {
+        if is_due && site.world.record.now_ms() > began + 5_000 {
+            for number in 0..JOBS {
+                let recurring = format!("\"repetitions\":10000,\"initialDelayMs\":{since_ms},\"intervalMs\":60000");
+                let job = id(0xFFFF_0000 + number);
+                site.submit(&job, &format!("{{\"spec\":\"ms=1000\",{recurring},{phases}}}"));
+            }
+            is_due = false;
+        }
+        let job = id(accepted.len() as u64 + 1);
+        if site.submit(&job, &format!("{{\"spec\":\"ms=1000\",{phases}}}")) {
+            accepted.push(job);
+        }
+        site.sleep(700);
+    }
+    site.sleep(FINISH_MS);
+    let waiting = |job: &&String| site.world.running(job) == 0 && site.world.progress(job, 0).0 < 60;
+    let before: Vec<&String> = accepted.iter().filter(waiting).collect();
+    site.sleep(3_000);
+    for job in before.into_iter().filter(waiting) {
+        let (done, begun) = site.world.progress(job, 0);
+        site.world.break_rule(format!(
+            "LOST: {job} has nothing running for 3 s: {begun} tasks of 60 have begun, {done} are done; shown as {}",
+            site.state(0, job)
+        ));
+    }
+    let ended = ended.load(Ordering::Relaxed);
+    site.world.record.line(&format!("{ended} times a process was ended as it was over its memory"));
+    let open = accepted.iter().enumerate().filter(|(node, job)| site.state(*node, job) != "completed").count();
+    site.world.record.line(&format!("{} jobs accepted, {open} not shown as completed", accepted.len()));
+    if !trouble && open > 0 {
+        return Err(format!("{open} jobs aren't completed"));
+    }
+    Ok(())
+}
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -44,6 +44,7 @@
         "flap" => cases::flap(&site, trouble),
         "ends" => cases::ends(&site, trouble),
         "large" => cases::large(&site, trouble),
+        "repeats" => cases::repeats(&site, trouble),
         "kind" => cases::kind(&site, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/stand_in_3/nodes.rs
+++ b/review/stand_in_3/nodes.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// Memory of a machine.
+pub const MEMORY_MB: u64 = 260;
+
 pub struct Node {
     pub name: String,
     pub callers: SocketAddr,
@@ -35,7 +38,7 @@
         let text = format!(
             "name: \"{name}\"\ndomain: \"lakes-west\"\ncallers_address: \"{callers}\"\n\
              readiness_address: \"{ready}\"\npeer_address: \"{}\"\nmetrics_address: \"{}\"\n\
-             store_address: \"{store}\"\nprocessor_share: 0.25\nmemory_mb: 260\n\
+             store_address: \"{store}\"\nprocessor_share: 0.25\nmemory_mb: {MEMORY_MB}\n\
              file_descriptors: 4100\nmin_store_lease_ms: 1000\ncancel_ms: 3000\n\
              max_worker_lease_ms: 6000\nkeep_ended_s: 120\n",
             address(),
@@ -61,6 +64,15 @@
         self.child = Some(child);
     }
 
+    /// Memory in use, in MB; 0 if the process isn't up.
+    pub fn memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand_in_3/site.rs
+++ b/review/stand_in_3/site.rs
@@ -2,12 +2,13 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use crate::http;
-use crate::nodes::Node;
+use crate::nodes::{MEMORY_MB, Node};
 use crate::record::Record;
 use crate::runner::{Runner, SERVICE, World};
 use crate::store::Store;
@@ -65,6 +66,38 @@
         self.nodes.clone()
     }
 
+    /// Does as the platform does: ends a process that is over its memory, and starts it again 1 s later.
+    /// Returns how many it has ended.
+    pub fn limit_memory(&self) -> Arc<AtomicU32> {
+        let (nodes, world) = (self.nodes.clone(), self.world.clone());
+        let ended = Arc::new(AtomicU32::new(0));
+        let count = ended.clone();
+        thread::spawn(move || {
+            let mut down: Vec<(usize, u64)> = Vec::new();
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                let now = world.record.now_ms();
+                let mut nodes = nodes.lock().expect("the processes");
+                for (number, node) in nodes.iter_mut().enumerate() {
+                    let memory_mb = node.memory_mb();
+                    if memory_mb > MEMORY_MB {
+                        node.kill();
+                        count.fetch_add(1, Ordering::Relaxed);
+                        world.record.line(&format!("node    {} is ended: it uses {memory_mb} of {MEMORY_MB} MB", node.name));
+                        down.push((number, now + 1_000));
+                    }
+                }
+                for (number, _) in down.extract_if(.., |(_, until)| now >= *until) {
+                    if let Some(node) = nodes.get_mut(number) {
+                        world.record.line(&format!("node    {} starts again", node.name));
+                        node.start(Path::new(PROGRAM));
+                    }
+                }
+            }
+        });
+        ended
+    }
+
     /// Ends the processes.
     pub fn end(&self) {
         let mut nodes = self.nodes.lock().expect("the processes");
