--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::record::unix_ms;
-use crate::runner::{Power, Runner};
+use crate::runner::Runner;
 use crate::site::Site;
 
 type Played = Result<(), String>;
@@ -13,54 +13,18 @@
     format!("5c0e7a21{number:08x}")
 }
 
-/// A runner goes down and up by turns. It is the only one with accelerators, and the one job of the day
-/// has a task there that lasts. LOST: the job is shown as `failed` without cause.
-pub fn flap(site: &Site, trouble: bool) -> Played {
-    /// `srv_flap`: period and duration, as in the site's list of troubles.
-    const PERIOD_MS: u64 = 1_400;
-    const FOR_MS: u64 = 6_500;
-    let _others: Vec<Arc<Runner>> = (0..9).map(|number| site.runner(number, "a", 0)).collect();
-    let only = site.runner(9, "b", 2);
-    site.sleep(12_000);
-    let lasting = id(1);
-    let step = "\"count\":1,\"cpu\":4000,\"memMb\":4096,\"gpu\":1";
-    let body = format!("{{\"spec\":\"lasts\",\"phases\":[{{{step},\"estimatedMs\":300,\"longRunning\":true}}]}}");
-    if !site.submit(&lasting, &body) || !site.wait(10_000, || site.world.running(&lasting) == 1) {
-        return Err("the job doesn't run".to_owned());
-    }
-    site.sleep(15_000);
-    if trouble {
-        let until = site.world.record.now_ms() + FOR_MS;
-        while site.world.record.now_ms() < until {
-            only.crash(Power::Down);
-            site.sleep(PERIOD_MS / 2);
-            only.reboot(None);
-            site.sleep(PERIOD_MS / 2);
-        }
-    }
-    site.sleep(20_000);
-    let states: Vec<String> = (0..3).map(|node| site.state(node, &lasting)).collect();
-    let running = site.world.running(&lasting);
-    site.world.record.line(&format!("{lasting} is shown as {}, and {running} of its tasks runs", states.join(", ")));
-    if states.iter().any(|state| state == "failed") {
-        site.world.break_rule(format!("LOST: {lasting} is shown as failed, and no run of it has ended failed"));
-    } else if states.iter().any(|state| state != "running") || running != 1 {
-        return Err("the job isn't running at the end".to_owned());
-    }
-    Ok(())
-}
-
-/// Disruption of `ends` and `kind`: under load, one runner at a time loses power as a start arrives there,
-/// and starts again under its id.
+/// Disruption of `ends`: under load, one runner at a time loses power, the busiest, and starts again under
+/// its id.
 struct Crashes {
     runners: Vec<Arc<Runner>>,
     next_ms: u64,
     left: u32,
-    count: u64,
     down: Option<(Arc<Runner>, u64)>,
 }
 
 impl Crashes {
+    /// Time without power.
+    const DARK_MS: u64 = 650;
     /// Time between the end of a crash and the next one.
     const GAP_MS: u64 = 2_600;
     /// Most crashes in a case.
@@ -71,33 +35,25 @@
             runners: runners.to_vec(),
             next_ms: site.world.record.now_ms() + after_ms,
             left: if trouble { Self::MOST } else { 0 },
-            count: 0,
             down: None,
         }
     }
 
-    /// Goes on. `other_label` is the kind of the next life, if it is another one.
-    fn play(&mut self, site: &Site, other_label: impl Fn(&Runner) -> Option<&'static str>) {
+    fn play(&mut self, site: &Site) {
         let now = site.world.record.now_ms();
         if let Some((runner, until)) = &self.down {
             if now >= *until {
-                runner.reboot(other_label(runner));
+                runner.reboot();
                 self.next_ms = now + Self::GAP_MS;
                 self.down = None;
             }
             return;
         }
-        if let Some(runner) = self.runners.iter().find(|runner| runner.power() == Power::Dark) {
-            self.count += 1;
-            // 500 to 900 ms.
-            let dark_ms = 500 + self.count * 170 % 401;
-            self.down = Some((runner.clone(), now + dark_ms));
-            return;
-        }
-        if self.left > 0 && now >= self.next_ms {
+        let busiest = self.runners.iter().max_by_key(|runner| runner.runs());
+        if let Some(busiest) = busiest.filter(|_| self.left > 0 && now >= self.next_ms) {
             self.left -= 1;
-            self.next_ms = u64::MAX;
-            site.world.crash_at_start.store(true, Ordering::Relaxed);
+            busiest.lose_power();
+            self.down = Some((busiest.clone(), now + Self::DARK_MS));
         }
     }
 }
@@ -114,61 +70,26 @@
     while site.world.record.now_ms() < began + 30_000 {
         let job = id(accepted.len() as u64 + 1);
         let body = format!(
-            "{{\"spec\":\"ms={WORK_MS}\",\"phases\":[{{\"count\":6,\"cpu\":8000,\"memMb\":4096,\"estimatedMs\":{WORK_MS}}}]}}"
+            "{{\"spec\":\"ms={WORK_MS}\",\"phases\":[{{\"count\":12,\"cpu\":4000,\"memMb\":4096,\"estimatedMs\":{WORK_MS}}}]}}"
         );
         if !site.submit(&job, &body) {
             return Err("a job isn't accepted".to_owned());
         }
         accepted.push(job);
         for _ in 0..6 {
-            crashes.play(site, |_| None);
+            crashes.play(site);
             site.sleep(10);
         }
     }
     site.sleep(12_000);
     let open = accepted.iter().enumerate().filter(|(node, job)| site.state(*node, job) != "completed").count();
-    site.world.record.line(&format!("{} jobs accepted, {open} not completed, {} crashes", accepted.len(), crashes.count));
+    site.world.record.line(&format!("{} jobs accepted, {open} not completed", accepted.len()));
     if open > 0 {
         return Err(format!("{open} jobs aren't completed"));
     }
     Ok(())
 }
 
-/// A runner loses power and starts again under its id as one of another kind. ROUTE: a start on a runner
-/// without the label in `requirements`.
-pub fn kind(site: &Site, trouble: bool) -> Played {
-    let labels = ["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"];
-    let runners: Vec<Arc<Runner>> = labels.iter().enumerate().map(|(number, label)| site.runner(number, label, 0)).collect();
-    site.sleep(3_000);
-    let mut crashes = Crashes::new(site, &runners, trouble, 6_000);
-    let began = site.world.record.now_ms();
-    let mut accepted = Vec::new();
-    while site.world.record.now_ms() < began + 30_000 {
-        let number = accepted.len() as u64 + 1;
-        let job = id(number);
-        let label = if number % 2 == 0 { "a" } else { "b" };
-        site.world.labels.lock().expect("the labels").insert(job.clone(), label.to_owned());
-        let body = format!(
-            "{{\"spec\":\"ms=800\",\"phases\":[{{\"count\":4,\"cpu\":4000,\"memMb\":4096,\"estimatedMs\":800,\"requirements\":\"{label}\"}}]}}"
-        );
-        if !site.submit(&job, &body) {
-            return Err("a job isn't accepted".to_owned());
-        }
-        accepted.push(job);
-        for _ in 0..10 {
-            crashes.play(site, |runner| Some(if runner.label() == "a" { "b" } else { "a" }));
-            site.sleep(10);
-        }
-    }
-    site.sleep(8_000);
-    let open = accepted.iter().enumerate().filter(|(node, job)| site.state(*node, job) != "completed").count();
-    site.world.record.line(&format!("{} jobs accepted, {open} not completed, {} crashes", accepted.len(), crashes.count));
-    if !trouble && open > 0 {
-        return Err(format!("{open} jobs aren't completed"));
-    }
-    Ok(())
-}
-
 /// Large jobs come at once: here one, whose tasks save checkpoints. Acks: more than a fifth of the ends
 /// that runners list aren't taken note of for `ackMs`.
 pub fn large(site: &Site, trouble: bool) -> Played {
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -41,11 +41,9 @@
         exit(2);
     });
     let played = match case.as_str() {
-        "flap" => cases::flap(&site, trouble),
         "ends" => cases::ends(&site, trouble),
         "large" => cases::large(&site, trouble),
         "repeats" => cases::repeats(&site, trouble),
-        "kind" => cases::kind(&site, trouble),
         other => Err(format!("no case {other}")),
     };
     let broken = site.world.broken();
--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -35,8 +35,6 @@
     Up,
     /// No power: nothing is answered, and no connection is closed.
     Dark,
-    /// The process has ended: connections are closed and refused.
-    Down,
 }
 
 struct Run {
@@ -115,12 +113,8 @@
     pub store: Arc<Store>,
     pub record: Arc<Record>,
     tasks: Mutex<BTreeMap<String, History>>,
-    /// Label that the tasks of a job need.
-    pub labels: Mutex<BTreeMap<String, String>>,
     broken: Mutex<Vec<String>>,
     starts: Mutex<u64>,
-    /// The runner at which the next start arrives loses power before it carries it out.
-    pub crash_at_start: AtomicBool,
 }
 
 impl World {
@@ -129,10 +123,8 @@
             store,
             record,
             tasks: Mutex::default(),
-            labels: Mutex::default(),
             broken: Mutex::default(),
             starts: Mutex::default(),
-            crash_at_start: AtomicBool::new(false),
         })
     }
 
@@ -195,15 +187,6 @@
         let now = self.record.now_ms();
         *self.starts.lock().expect("the count") += 1;
         self.record.line(&format!("run     {task} run {attempt} begins on {} life {}", runner.id, life.number));
-        let job = task.split('.').next().unwrap_or_default();
-        if let Some(label) = self.labels.lock().expect("the labels").get(job)
-            && !life.labels.contains(label)
-        {
-            self.break_rule(format!(
-                "ROUTE: {task} run {attempt} needs the label {label} and begins on {} life {}, whose labels are {}",
-                runner.id, life.number, life.labels.join(" ")
-            ));
-        }
         let mut tasks = self.tasks.lock().expect("the tasks");
         let history = tasks.entry(task.to_owned()).or_default();
         if let Some((other, run)) = history.running.iter().next() {
@@ -315,30 +298,23 @@
         ));
     }
 
-    pub fn power(&self) -> Power {
-        self.life.lock().expect("the life").power
-    }
-
-    /// The kind of this life.
-    pub fn label(&self) -> String {
-        self.life.lock().expect("the life").labels[0].clone()
+    /// Number of runs.
+    pub fn runs(&self) -> usize {
+        self.life.lock().expect("the life").runs.len()
     }
 
-    /// Crashes: all that runs is lost.
-    pub fn crash(&self, power: Power) {
-        self.crash_locked(&mut self.life.lock().expect("the life"), power);
-    }
-
-    fn crash_locked(&self, life: &mut Life, power: Power) {
-        self.world.record.line(&format!("runner  {} life {} crashes ({power:?})", self.id, life.number));
-        self.world.lost(self, life);
+    /// Loses power, and with it all that runs.
+    pub fn lose_power(&self) {
+        let mut life = self.life.lock().expect("the life");
+        self.world.record.line(&format!("runner  {} life {} loses power", self.id, life.number));
+        self.world.lost(self, &life);
         life.runs.clear();
-        life.power = power;
+        life.power = Power::Dark;
         self.changed.notify_all();
     }
 
-    /// Starts again under its id and address, with another label if one is given.
-    pub fn reboot(&self, label: Option<&str>) {
+    /// Starts again under its id and address.
+    pub fn reboot(&self) {
         let mut life = self.life.lock().expect("the life");
         life.number += 1;
         life.born = unix_ms();
@@ -349,9 +325,6 @@
         life.over.clear();
         life.lease_ms = 0;
         life.sequence = 0;
-        if let Some(label) = label {
-            life.labels[0] = label.to_owned();
-        }
         life.power = Power::Up;
         life.registers = Some(life.began + REGISTERS);
         self.world.record.line(&format!("runner  {} life {} begins, labels {}", self.id, life.number, life.labels.join(" ")));
@@ -361,11 +334,6 @@
     fn listen(self: Arc<Self>) {
         let mut listener: Option<TcpListener> = None;
         loop {
-            if self.power() == Power::Down {
-                listener = None;
-                thread::sleep(Duration::from_millis(1));
-                continue;
-            }
             let Some(open) = &listener else {
                 listener = TcpListener::bind(self.address).ok();
                 if let Some(open) = &listener {
@@ -411,7 +379,7 @@
     fn close_with_life(&self, number: u32, stream: &TcpStream, is_over: &AtomicBool) {
         let mut life = self.life.lock().expect("the life");
         let opened_in = life.number;
-        while life.number == opened_in && life.power != Power::Down {
+        while life.number == opened_in {
             if number != 0 && life.number != number {
                 break;
             }
@@ -431,14 +399,11 @@
     /// A request to a life that is over. Without power nothing resets its connection: that comes when
     /// the caller sends again on it, to the next life.
     fn unanswered(&self, mut life: std::sync::MutexGuard<'_, Life>) -> Option<Response> {
-        let is_down = life.power == Power::Down;
         while life.power == Power::Dark {
             life = self.changed.wait(life).expect("the life");
         }
         drop(life);
-        if !is_down {
-            thread::sleep(SILENT);
-        }
+        thread::sleep(SILENT);
         None
     }
 
@@ -456,11 +421,6 @@
         let clock_ms = life.clock_ms();
         let reject = |reason: &str| Some((409, format!("{{\"clockMs\":{clock_ms},\"reason\":\"{reason}\"}}")));
         let fence = body.get("fencingToken").number().unwrap_or(0);
-        let is_start = request.path == "/v1/run-start";
-        if is_start && self.world.crash_at_start.swap(false, Ordering::Relaxed) {
-            self.crash_locked(&mut life, Power::Dark);
-            return self.unanswered(life);
-        }
         if fence < life.fence {
             self.world.record.line(&format!("runner  {} rejects {} with fence {fence}", self.id, request.path));
             return reject("fence");
