--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -52,6 +52,8 @@
     task: String,
     attempt: u32,
     how: &'static str,
+    /// Whether the lease has lapsed since.
+    lapsed: bool,
 }
 
 struct Life {
@@ -95,6 +97,8 @@
     at_ms: u64,
     /// When it was taken note of: `ackSeq` has reached it.
     noted_ms: Option<u64>,
+    /// Whether the runner's lease lapsed before that: the end counts as not taken note of.
+    lapsed: bool,
     runner: String,
     life: u32,
     number: u64,
@@ -144,7 +148,7 @@
         let mut broken = self.broken.lock().expect("the list").clone();
         for (task, history) in &*self.tasks.lock().expect("the tasks") {
             for (at_ms, start) in &history.later_starts {
-                let noted = history.done.iter().find(|done| done.at_ms < *at_ms && done.noted_ms.is_some());
+                let noted = history.done.iter().find(|done| done.at_ms < *at_ms && done.noted_ms.is_some() && !done.lapsed);
                 let Some(done) = noted else { continue };
                 broken.push(format!(
                     "TWICE: {task}: run {} ended done at {} ms as end {} of life {} of {}, taken note of at {} ms; {start}",
@@ -201,7 +205,7 @@
     }
 
     fn ended(&self, runner: &Runner, life: &Life, end: &End) {
-        let End { number, task, attempt, how } = end;
+        let End { number, task, attempt, how, .. } = end;
         self.record.line(&format!("run     {task} run {attempt} ends {how} on {} life {} as end {number}", runner.id, life.number));
         let mut tasks = self.tasks.lock().expect("the tasks");
         let history = tasks.entry(task.clone()).or_default();
@@ -211,6 +215,7 @@
                 attempt: *attempt,
                 at_ms: self.record.now_ms(),
                 noted_ms: None,
+                lapsed: false,
                 runner: runner.id.clone(),
                 life: life.number,
                 number: *number,
@@ -225,6 +230,7 @@
         for done in &mut history.done {
             if done.runner == runner.id && done.life == life.number && done.number == end.number {
                 done.noted_ms = Some(now);
+                done.lapsed = end.lapsed;
             }
         }
     }
@@ -520,6 +526,9 @@
             self.write_entry(&mut life);
         }
         let lapsed = life.clock_ms() > life.lease_ms;
+        if lapsed {
+            life.ended.iter_mut().for_each(|end| end.lapsed = true);
+        }
         let over: Vec<(String, &'static str)> = life
             .runs
             .iter()
@@ -539,7 +548,7 @@
         for (task, how) in over {
             let Some(run) = life.runs.remove(&task) else { continue };
             life.last_end += 1;
-            let end = End { number: life.last_end, task: task.clone(), attempt: run.attempt, how };
+            let end = End { number: life.last_end, task: task.clone(), attempt: run.attempt, how, lapsed: false };
             self.world.ended(self, &life, &end);
             let over = life.over.entry(task).or_default();
             *over = (*over).max(run.attempt);
