A call to a worker reaches only the incarnation that it is for

Cause: nothing in a call said for which incarnation it was. A start without an answer was sent again on a new connection and carried out by the next incarnation, which has seen no fencing token; then a poll acknowledged the ends of the former incarnation, and the new one forgot its own ends unseen.

Change: orders carry the incarnation, and the client sends them only on a connection that has shown that it leads there. A new connection begins with a poll without effect; if another incarnation answers it, the order is not sent. Any incarnation other than the last one counts as a restart, also one with an earlier start time.

--- a/components/cell/src/action.rs
+++ b/components/cell/src/action.rs
@@ -15,6 +15,9 @@
     pub worker: WorkerId,
     /// Address of the worker.
     pub address: SocketAddr,
+    /// Incarnation of the worker that the order is for, by its start in Unix milliseconds. No other
+    /// one may carry it out.
+    pub incarnation_unix_ms: u64,
     /// Task that the order is about.
     pub task: TaskKey,
     /// Attempt number of the run.
@@ -38,6 +41,9 @@
     pub worker: WorkerId,
     /// Address of the worker.
     pub address: SocketAddr,
+    /// Incarnation of the worker that the order is for, by its start in Unix milliseconds. No other
+    /// one may carry it out.
+    pub incarnation_unix_ms: u64,
     /// Task that the order is about.
     pub task: TaskKey,
     /// Attempt number of the run.
@@ -60,6 +66,9 @@
 pub struct PollOrder {
     /// Address of the worker.
     pub address: SocketAddr,
+    /// Incarnation of the worker that the call is for, by its start in Unix milliseconds. Any other one
+    /// may only be asked for its state.
+    pub incarnation_unix_ms: u64,
     /// Fencing token: after this order the worker refuses orders with a lower one.
     pub fence: u64,
     /// New expiry of the leases on the worker's clock; none if they are not renewed.
@@ -111,7 +120,7 @@
     Ticket,
     /// The worker reports that it is unhealthy, and did not start the run.
     Unhealthy,
-    /// The order was meant for another incarnation of the worker.
+    /// Another incarnation of the worker answers, or another worker. The order did not reach it.
     WrongIncarnation,
     /// The worker could not parse the order.
     Malformed,
--- a/components/cell/src/periodic.rs
+++ b/components/cell/src/periodic.rs
@@ -73,6 +73,7 @@
                     self.actions.push(Action::Stop(StopOrder {
                         worker: id.clone(),
                         address: worker.report.address,
+                        incarnation_unix_ms: worker.incarnation_unix_ms,
                         task: key.clone(),
                         attempt: run.attempt,
                         fence,
@@ -174,6 +175,7 @@
                 run: StopOrder {
                     worker: id.clone(),
                     address: worker.report.address,
+                    incarnation_unix_ms: worker.incarnation_unix_ms,
                     task: key.clone(),
                     attempt: run.attempt,
                     fence,
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -112,7 +112,8 @@
             worker.incarnation_unix_ms = answer.incarnation_unix_ms;
             worker.long_leases_until_ms = None;
         }
-        if answer.incarnation_unix_ms > worker.incarnation_unix_ms {
+        // An incarnation that answers a later poll is newer, whatever its clock showed at its start.
+        if answer.incarnation_unix_ms != worker.incarnation_unix_ms {
             self.worker_restarted(id, answer, now);
             return;
         }
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -72,6 +72,7 @@
         self.actions.push(Action::Start(Box::new(StartOrder {
             worker: worker_id.clone(),
             address: worker.report.address,
+            incarnation_unix_ms: worker.incarnation_unix_ms,
             task: key,
             attempt,
             fence: worker.fence(self.epoch),
@@ -113,6 +114,7 @@
     ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let address = worker.report.address;
+        let incarnation_unix_ms = worker.incarnation_unix_ms;
         let fence = worker.fence(self.epoch);
         let Some(run) = worker.runs.get_mut(key) else { return };
         if matches!(run.state, RunState::Stopping | RunState::Stopped) {
@@ -126,6 +128,7 @@
         let order = StopOrder {
             worker: worker_id.clone(),
             address,
+            incarnation_unix_ms,
             task: key.clone(),
             attempt: run.attempt,
             fence,
@@ -268,7 +271,9 @@
         }
         let fence = worker.fence(self.epoch);
         let address = worker.report.address;
-        Some(PollOrder { address, fence, deadline_ms, ack: worker.acknowledgeable_end(), wait_ms })
+        let incarnation_unix_ms = worker.incarnation_unix_ms;
+        let ack = worker.acknowledgeable_end();
+        Some(PollOrder { address, incarnation_unix_ms, fence, deadline_ms, ack, wait_ms })
     }
 
     /// Longest lease that orders may set now. It is shorter while another process may have been elected.
--- a/components/cell/tests/restarts.rs
+++ b/components/cell/tests/restarts.rs
@@ -380,3 +380,19 @@
     let again = starts(&mut first.cell, Millis(2_500));
     assert_eq!(again.len(), 1, "the run of the former life is lost");
 }
+
+/// Guards against a worker that gets no work for good because its clock was set back before its restart:
+/// orders are for the incarnation that answered last.
+#[test]
+fn an_incarnation_with_an_earlier_start_is_a_restart() {
+    let mut cell = cell(1);
+    cell.worker_listed(listed("w1", 800_000), Millis(0));
+    poll(&mut cell, "w1", 800_000, Vec::new(), Millis(100));
+    poll(&mut cell, "w1", 700_000, Vec::new(), RESTARTED_MS);
+    cell.worker_listed(listed("w1", 700_000), RESTARTED_MS);
+    poll_sent(&mut cell, "w1", 700_000, Vec::new(), RESTARTED_MS + Millis(5), FENCED_MS);
+    cell.add_job(one_task_job("00000000000000aa", 1), FENCED_MS);
+    let orders = starts(&mut cell, FENCED_MS + Millis(10));
+    let incarnations: Vec<u64> = orders.iter().map(|order| order.incarnation_unix_ms).collect();
+    assert_eq!(incarnations, [700_000]);
+}
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -74,6 +74,34 @@
     pub body: Bytes,
 }
 
+/// A server instance that a request is meant for, and how a connection shows which one it leads to.
+///
+/// A server that restarts at its address takes requests that were meant for the instance before. Such a
+/// request is sent only on a connection that has shown that it leads to the right one. A connection
+/// never changes its instance.
+#[derive(Debug)]
+pub struct Instance<'a> {
+    /// Identity of the instance.
+    pub id: u64,
+    /// Request that is sent first on each new connection. Any instance may carry it out.
+    pub hello: Request<'a>,
+    /// Reads the identity of an instance from its response to `hello`.
+    pub identify: Identify,
+}
+
+/// Reads the identity of a server instance from a response; none if the response has none.
+pub type Identify = fn(&Response) -> Option<u64>;
+
+/// Why a request to an instance has no response.
+#[derive(Debug)]
+pub enum InstanceError {
+    /// The call failed.
+    Call(CallError),
+    /// Another instance has answered `hello`, or one that did not identify itself, with this
+    /// response. The request was not sent.
+    OtherInstance(Response),
+}
+
 /// A response whose body has not been received, and its connection.
 type Answered = (hyper::Response<Incoming>, SendRequest<Full<Bytes>>);
 
@@ -97,6 +125,12 @@
 }
 
 impl BodyLimits {
+    /// Limits of a response whose request is sent now.
+    fn of(request: &Request<'_>) -> Self {
+        let stall = request.timeout_ms.to_duration();
+        Self { deadline: tokio::time::Instant::now() + stall, stall }
+    }
+
     /// When the next part must have arrived after so many bytes.
     fn next_part(&self, received_bytes: usize) -> tokio::time::Instant {
         let earned_ms = received_bytes as u64 * 1_000 / MIN_BODY_BYTES_PER_S;
@@ -107,6 +141,8 @@
 
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Instance that it leads to, if it has shown one.
+    instance: Option<u64>,
     idle_since: Instant,
 }
 
@@ -158,13 +194,101 @@
         address: SocketAddr,
         request: Request<'_>,
     ) -> Result<Response, CallError> {
-        let timeout = request.timeout_ms.to_duration();
-        let deadline = tokio::time::Instant::now() + timeout;
-        let head = tokio::time::timeout_at(deadline, self.send(address, &request));
-        let result = match head.await {
+        self.call_any_instance(address, request, |_response| None).await
+    }
+
+    /// Sends a request that any instance of the server may carry out. The connection is kept for the
+    /// instance that the response shows.
+    pub async fn call_any_instance(
+        &self,
+        address: SocketAddr,
+        request: Request<'_>,
+        identify: Identify,
+    ) -> Result<Response, CallError> {
+        let limits = BodyLimits::of(&request);
+        let (response, sender) = self.exchange(address, None, &request, &limits).await?;
+        let instance = identify(&response);
+        if let Some(id) = instance {
+            self.close_other_instances(address, id);
+        }
+        self.put_idle(address, sender, instance);
+        Ok(response)
+    }
+
+    /// Sends a request that only one instance of the server may carry out. On a new connection, `hello`
+    /// is sent first; both together take at most the timeout of the request.
+    ///
+    /// # Errors
+    ///
+    /// `InstanceError::Call` with `CallError::NotSent` also means that `hello` got no answer.
+    pub async fn call_instance(
+        &self,
+        address: SocketAddr,
+        instance: &Instance<'_>,
+        request: Request<'_>,
+    ) -> Result<Response, InstanceError> {
+        let limits = BodyLimits::of(&request);
+        let (response, sender) = loop {
+            match self.take_idle(address, Some(instance.id)) {
+                Some(sender) => {
+                    match self.exchange(address, Some(sender), &request, &limits).await {
+                        // The server closed the idle connection before the request was written.
+                        Err(CallError::NotSent) => {}
+                        other => break other.map_err(InstanceError::Call)?,
+                    }
+                }
+                None => {
+                    let sender = self.connect_to(address, instance, &limits).await?;
+                    let exchange = self.exchange(address, Some(sender), &request, &limits);
+                    break exchange.await.map_err(InstanceError::Call)?;
+                }
+            }
+        };
+        self.put_idle(address, sender, Some(instance.id));
+        Ok(response)
+    }
+
+    /// Opens a connection to an instance.
+    async fn connect_to(
+        &self,
+        address: SocketAddr,
+        instance: &Instance<'_>,
+        limits: &BodyLimits,
+    ) -> Result<SendRequest<Full<Bytes>>, InstanceError> {
+        let not_sent = InstanceError::Call(CallError::NotSent);
+        let connected = tokio::time::timeout_at(limits.deadline, connect(address)).await;
+        let Ok(Ok(sender)) = connected else { return Err(not_sent) };
+        let hello = self.exchange(address, Some(sender), &instance.hello, limits).await;
+        let Ok((response, sender)) = hello else { return Err(not_sent) };
+        let answered = (instance.identify)(&response);
+        if let Some(id) = answered {
+            self.close_other_instances(address, id);
+        }
+        if answered == Some(instance.id) {
+            return Ok(sender);
+        }
+        self.put_idle(address, sender, answered);
+        Err(InstanceError::OtherInstance(response))
+    }
+
+    /// Sends a request on a connection, or else on any idle or a new one, and waits for the complete
+    /// response. Returns the connection too.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        sender: Option<SendRequest<Full<Bytes>>>,
+        request: &Request<'_>,
+        limits: &BodyLimits,
+    ) -> Result<(Response, SendRequest<Full<Bytes>>), CallError> {
+        let send = async {
+            match sender {
+                Some(sender) => send_on(address, sender, request).await,
+                None => self.send_on_any(address, request).await,
+            }
+        };
+        let result = match tokio::time::timeout_at(limits.deadline, send).await {
             Ok(Ok((response, sender))) => {
-                let limits = BodyLimits { deadline, stall: timeout };
-                self.receive(address, response, sender, limits).await
+                receive(response, limits).await.map(|response| (response, sender))
             }
             Ok(Err(error)) => return Err(error),
             Err(_elapsed) => Err(Interrupted::Stalled),
@@ -180,26 +304,12 @@
         })
     }
 
-    /// Receives the body of a response. Its connection can be used again afterwards.
-    async fn receive(
-        &self,
-        address: SocketAddr,
-        response: hyper::Response<Incoming>,
-        sender: SendRequest<Full<Bytes>>,
-        limits: BodyLimits,
-    ) -> Result<Response, Interrupted> {
-        let (head, body) = response.into_parts();
-        let body = collect_body(body, &limits).await?;
-        self.put_idle(address, sender);
-        Ok(Response { status: head.status.as_u16(), headers: head.headers, body })
-    }
-
-    async fn send(
+    async fn send_on_any(
         &self,
         address: SocketAddr,
         request: &Request<'_>,
     ) -> Result<Answered, CallError> {
-        while let Some(sender) = self.take_idle(address) {
+        while let Some(sender) = self.take_idle(address, None) {
             match send_on(address, sender, request).await {
                 // The server closed the idle connection before the request was written.
                 Err(CallError::NotSent) => {}
@@ -210,18 +320,38 @@
         send_on(address, sender, request).await
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    /// Takes the connection that was used last, of those to an instance if one is named.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        instance: Option<u64>,
+    ) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
         let pool = idle.get_mut(&address)?;
         pool.retain_fresh();
-        pool.connections.pop().map(|connection| connection.sender)
+        let fits =
+            |connection: &IdleConnection| instance.is_none_or(|id| connection.instance == Some(id));
+        let last = pool.connections.iter().rposition(fits)?;
+        Some(pool.connections.remove(last).sender)
     }
 
-    fn put_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+    /// Closes the idle connections to an address that do not lead to the instance that answers there now.
+    fn close_other_instances(&self, address: SocketAddr, instance: u64) {
+        if let Some(pool) = self.idle.borrow_mut().get_mut(&address) {
+            pool.connections.retain(|connection| connection.instance == Some(instance));
+        }
+    }
+
+    fn put_idle(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        instance: Option<u64>,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let pool = idle.entry(address).or_default();
         if pool.connections.len() < self.max_idle_connections {
-            pool.connections.push(IdleConnection { sender, idle_since: Instant::now() });
+            pool.connections.push(IdleConnection { sender, instance, idle_since: Instant::now() });
         }
         if !std::mem::replace(&mut pool.is_swept, true) {
             tokio::task::spawn_local(sweep(Rc::downgrade(&self.idle), address));
@@ -269,6 +399,16 @@
     Ok((response, sender))
 }
 
+/// Receives the body of a response. Its connection can be used again afterwards.
+async fn receive(
+    response: hyper::Response<Incoming>,
+    limits: &BodyLimits,
+) -> Result<Response, Interrupted> {
+    let (head, body) = response.into_parts();
+    let body = collect_body(body, limits).await?;
+    Ok(Response { status: head.status.as_u16(), headers: head.headers, body })
+}
+
 /// Collects a body within its limits.
 async fn collect_body(mut body: Incoming, limits: &BodyLimits) -> Result<Bytes, Interrupted> {
     let mut collected = BytesMut::new();
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use hyper::Method;
 
-pub use client::{CallError, Client, Request, Response};
+pub use client::{CallError, Client, Identify, Instance, InstanceError, Request, Response};
 pub use connections::ServerLimits;
 pub use server::{
     Handler, Rejection, RequestPermit, ServerRequest, ServerResponse, listen, serve, serve_within,
