Crashes under a task count although the leader dies in an outage

Cause: what a leader has noticed of a crash dies with it unless it is stored. The next leader started the task as one that was never lost, and nothing bounded the number of such leaders.

Change: accounts of the workers are stored with the roster. A new leader that finds a worker with another incarnation than in its account, or gone, presumes one loss of each inherited task that may have run there. The start of a task with such a loss, or one that may be its fault, is stored with its worker before it is ordered; the next leader counts a crash only if that worker is gone.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -101,6 +101,8 @@
     pub(crate) start_retries: RetryBudget,
     /// Which starts may be ordered. Leases are renewed while it allows any.
     pub(crate) start_permission: StartPermission,
+    /// A former leader has announced starts of suspects.
+    pub(crate) inherits_announcements: bool,
     /// Requests to evacuate failure domains.
     pub(crate) evacuations: Evacuations,
     pub(crate) evacuation_logged_ms: Millis,
@@ -158,6 +160,7 @@
             urgent_demand: Resources::ZERO,
             start_retries: RetryBudget::default(),
             start_permission: StartPermission::AllJobs,
+            inherits_announcements: false,
             evacuations: Evacuations::default(),
             evacuation_logged_ms: Millis(0),
             evacuation_runs: 0,
@@ -254,6 +257,7 @@
         job.ended_ms = now;
         if let Some(progress) = progress {
             job.restore(progress);
+            self.inherits_announcements |= progress.announces_starts();
         }
         if job.ended.is_none() {
             self.open_jobs.insert(id.clone());
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -4,9 +4,11 @@
 //! [`Action`]s that it returns. Times are milliseconds of the process clock unless a name says
 //! otherwise.
 
+mod accounts;
 mod action;
 mod advice;
 mod aging;
+mod announce;
 mod ask;
 mod batch;
 mod budget;
@@ -44,6 +46,7 @@
 mod worker;
 mod worker_list;
 
+pub use accounts::WorkerAccount;
 pub use action::{Action, PaceOrder, PollOrder, Refusal, StartAnswer, StartOrder, StopOrder};
 pub use batch::{Batch, StoredEnd};
 pub use budget::RetryBudget;
--- a/components/cell/src/losses.rs
+++ b/components/cell/src/losses.rs
@@ -44,7 +44,14 @@
     pub(crate) task: TaskKey,
     /// It lasts until the task has survived for good.
     is_long: bool,
-    began_ms: Millis,
+    pub(crate) began_ms: Millis,
+}
+
+impl Trial {
+    /// Reserves a worker for a task that is about to start there.
+    pub(crate) fn reserved(task: TaskKey, now: Millis) -> Self {
+        Self { task, is_long: false, began_ms: now }
+    }
 }
 
 /// Number of losses and of jobs that were given up, for metrics.
@@ -59,8 +66,21 @@
 impl Task {
     /// Whether it may have crashed its worker, so that it is tried alone.
     pub(crate) fn is_suspect(&self) -> bool {
-        let is_recent = |loss: &LostRun| matches!(loss.kind, LossKind::Early | LossKind::Doubtful);
-        self.losses.iter().any(is_recent) || self.losses.len() >= LONG_TRIAL_LOSSES
+        let is_recent = |loss: &LostRun| {
+            matches!(loss.kind, LossKind::Early | LossKind::Doubtful | LossKind::Presumed)
+        };
+        self.losses.iter().any(is_recent) || self.known_losses().count() >= LONG_TRIAL_LOSSES
+    }
+
+    /// Whether its start is announced, so that no crash under it goes uncounted.
+    pub(crate) fn is_announced(&self) -> bool {
+        let is_open = |loss: &LostRun| matches!(loss.kind, LossKind::Announced { .. });
+        self.is_suspect() || self.losses.iter().any(is_open)
+    }
+
+    /// The losses without starts of which nothing is known.
+    fn known_losses(&self) -> impl DoubleEndedIterator<Item = &LostRun> {
+        self.losses.iter().filter(|loss| !matches!(loss.kind, LossKind::Announced { .. }))
     }
 
     fn early_losses(&self) -> usize {
@@ -68,14 +88,15 @@
     }
 
     fn crashes_workers(&self) -> bool {
-        let is_likely = |loss: &LostRun| loss.kind != LossKind::Unrelated;
-        let is_clear = |loss: &LostRun| matches!(loss.kind, LossKind::Early | LossKind::Late);
-        let likely = self.losses.iter().filter(|loss| is_likely(loss)).count();
-        let clear = self.losses.iter().filter(|loss| is_clear(loss)).count();
-        let last_clear = self.losses.iter().rev().take_while(|loss| is_clear(loss)).count();
+        let is_likely = |loss: &&LostRun| loss.kind != LossKind::Unrelated;
+        let is_clear = |loss: &&LostRun| matches!(loss.kind, LossKind::Early | LossKind::Late);
+        let losses = self.known_losses().count();
+        let likely = self.known_losses().filter(is_likely).count();
+        let clear = self.known_losses().filter(is_clear).count();
+        let last_clear = self.known_losses().rev().take_while(is_clear).count();
         self.early_losses() >= MAX_EARLY_LOSSES
             || likely >= MIN_LOSSES
-            || (self.losses.len() >= MIN_LOSSES && (clear >= 3 || last_clear >= 2))
+            || (losses >= MIN_LOSSES && (clear >= 3 || last_clear >= 2))
     }
 }
 
@@ -142,7 +163,11 @@
         let Some(worker) = self.workers.get(id) else { return };
         // A worker that drains leaves as announced. Runs of a former incarnation are recorded when its
         // successor is found.
-        if worker.report.draining || worker.has_former_runs {
+        if worker.has_former_runs {
+            return;
+        }
+        if worker.report.draining {
+            self.withdraw_announcements(id, runs);
             return;
         }
         let alive_ms = worker.last_answer_ms;
@@ -175,7 +200,9 @@
             task.losses.push(loss);
             let losses = task.losses.len();
             self.dirty.mark(&key.step.job);
-            if let Some(run) = self.workers.get_mut(id).and_then(|one| one.runs.get_mut(&key)) {
+            let Some(worker) = self.workers.get_mut(id) else { continue };
+            worker.jobs_with_losses.insert(key.step.job.clone());
+            if let Some(run) = worker.runs.get_mut(&key) {
                 run.has_losses = true;
             }
             event!("task.lost", "task" => key.to_string(), "attempt" => loss.attempt,
@@ -188,6 +215,19 @@
         }
     }
 
+    /// Withdraws the announcements of runs that are known to have ended by something else.
+    pub(crate) fn withdraw_announcements(&mut self, id: &WorkerId, runs: &[TaskKey]) {
+        for key in runs {
+            let run = self.workers.get(id).and_then(|worker| worker.runs.get(key));
+            let Some(attempt) = run.filter(|run| run.has_losses).map(|run| run.attempt) else {
+                continue;
+            };
+            self.withdraw_losses(key, |loss| {
+                loss.attempt == attempt && matches!(loss.kind, LossKind::Announced { .. })
+            });
+        }
+    }
+
     /// Withdraws the loss of a run of which its worker reports something, or which has not started.
     pub(crate) fn withdraw_loss(&mut self, key: &TaskKey, attempt: u32) {
         self.withdraw_losses(key, |loss| loss.attempt == attempt);
@@ -237,7 +277,13 @@
         if ran_ms >= SURVIVED_MS {
             self.withdraw_all_losses(key);
         } else {
-            self.withdraw_loss(key, attempt);
+            // What was announced stays until the run has not crashed its worker by its start.
+            let has_survived_start = ran_ms > EARLY_LOSS_MS;
+            self.withdraw_losses(key, |loss| {
+                let is_known =
+                    !matches!(loss.kind, LossKind::Announced { .. }) || has_survived_start;
+                loss.attempt == attempt && is_known
+            });
         }
     }
 
@@ -257,7 +303,7 @@
     pub(crate) fn begin_trial(&mut self, id: &WorkerId, key: &StepKey, index: u32, now: Millis) {
         let task = self.step(key).and_then(|step| step.tasks.get(index));
         let Some(task) = task.filter(|task| task.is_suspect()) else { return };
-        let losses = task.losses.len();
+        let losses = task.known_losses().count();
         let is_on_long_trial =
             |worker: &&Worker| worker.trial.as_ref().is_some_and(|trial| trial.is_long);
         let long_trials = self.workers.values().filter(is_on_long_trial).count();
@@ -272,6 +318,7 @@
 
     /// Polls the workers with trials that are due to be judged.
     pub(crate) fn judge_trials(&mut self, now: Millis) {
+        self.free_reserved_workers(now);
         for (id, worker) in &mut self.workers {
             let Some(trial) = &worker.trial else { continue };
             let age_ms = now.since(trial.began_ms);
@@ -322,6 +369,13 @@
     }
 }
 
+/// Whether a run has started so lately that it may still crash its worker by its start, or its worker is
+/// silent since.
+pub(crate) fn is_fresh(worker: &Worker, run: &Run, now: Millis) -> bool {
+    known_run_time(worker, run) <= EARLY_LOSS_MS
+        && (!worker.reachable || now.since(run.started_ms) <= EARLY_LOSS_MS)
+}
+
 /// Whether a run of another job has been lost early with one of `job`.
 fn has_other_suspect(worker: &Worker, job: &JobId) -> bool {
     let is_early = |run: &Run| known_run_time(worker, run) <= EARLY_LOSS_MS;
--- a/components/cell/src/model.rs
+++ b/components/cell/src/model.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use forecast::NameHash;
 use libs::compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use types::{JobId, Millis, QueueId, RackId, Resources, TeamId};
@@ -264,6 +265,15 @@
     Late,
     /// Its worker lived for some time after the start, and something else is likely to have ended it.
     Unrelated,
+    /// A worker has crashed of whose runs nothing was stored, and the task may have been one of them.
+    Presumed,
+    /// Its start was to be ordered, and nothing is known of it since.
+    Announced {
+        /// Worker that was to start it.
+        worker: NameHash,
+        /// Incarnation of the worker, by its start in Unix milliseconds.
+        incarnation_unix_ms: u64,
+    },
 }
 
 /// Runs of one task that were lost one after the other.
@@ -294,6 +304,12 @@
 }
 
 impl Progress {
+    /// Whether starts of suspects are announced in it.
+    pub(crate) fn announces_starts(&self) -> bool {
+        let mut runs = self.losses.iter().flat_map(|losses| &losses.runs);
+        runs.any(|run| matches!(run.kind, LossKind::Announced { .. }))
+    }
+
     /// Whether it shows that a worker has begun a task. A loss does not: the start may not have
     /// reached the worker.
     pub fn shows_begun_task(&self) -> bool {
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -102,6 +102,11 @@
             return;
         }
         worker.last_poll_sent_ms = sent_ms;
+        if is_first {
+            self.resolve_announcements(id, answer);
+            self.check_account(id, answer.incarnation_unix_ms, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
         let regained = !worker.reachable;
         if regained {
             event!("worker.regained", "worker" => id.as_str(),
@@ -330,6 +335,9 @@
                 RunState::Starting | RunState::Stopping => {}
             }
         }
+        if !restarted {
+            self.withdraw_announcements(id, &lost);
+        }
         for key in lost {
             event!("task.missing", "task" => key.to_string(), "worker" => id.as_str());
             self.release_run(id, &key, LOST_RETRY_MS, now);
--- a/components/cell/src/recovery.rs
+++ b/components/cell/src/recovery.rs
@@ -80,7 +80,11 @@
 impl Cell {
     /// Ends recovery once no worker can run inherited tasks unseen.
     pub(crate) fn check_recovery(&mut self, now: Millis) {
-        if self.recovering && self.all_workers_seen(now) {
+        if !self.recovering {
+            return;
+        }
+        self.check_unseen_accounts(now);
+        if self.all_workers_seen(now) {
             self.recovering = false;
             event!("cell.recovered", "epoch" => self.epoch, "workers" => self.workers.len(),
                 "jobs" => self.jobs.len());
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -140,6 +140,15 @@
             return;
         }
         let rank = candidate.rank;
+        if !spec.gang {
+            let (announced, others) = step.split_announced(&mut tasks, self.epoch);
+            let waiting = WaitingStep { key, spec, queue, rank, has_turn, tasks: &others, now };
+            self.start_announced(&waiting, &announced);
+            self.announce_or_seek_room(&waiting);
+            if tasks.is_empty() {
+                return;
+            }
+        }
         let waiting = WaitingStep { key, spec, queue, rank, has_turn, tasks: &tasks, now };
         let started = self.start_waiting(&waiting);
         if started < tasks.len() {
@@ -147,11 +156,30 @@
         }
     }
 
+    /// Announces the starts of tasks, and prepares room for those that find none.
+    fn announce_or_seek_room(&mut self, waiting: &WaitingStep<'_>) {
+        if waiting.tasks.is_empty() {
+            return;
+        }
+        let announced = self.announce(waiting);
+        if announced < waiting.tasks.len() {
+            self.seek_room(waiting, waiting.tasks.len() - announced);
+        }
+    }
+
+    /// Starts announced tasks on the workers that are reserved for them.
+    fn start_announced(&mut self, waiting: &WaitingStep<'_>, announced: &[u32]) {
+        if !announced.is_empty() {
+            let placed = self.reserved_workers(waiting, announced);
+            self.start_chosen(waiting, placed.clone());
+            self.end_reservations(waiting.key, &placed);
+        }
+    }
+
     /// Starts the tasks of a step that find room, a gang only as a whole. Returns their number.
     fn start_waiting(&mut self, waiting: &WaitingStep<'_>) -> usize {
         let charge = waiting.spec.charge();
-        let service = &waiting.queue.service;
-        if !self.rooms.get_mut(service).may_fit(&charge) {
+        if !self.rooms.get_mut(&waiting.queue.service).may_fit(&charge) {
             return 0;
         }
         let placed = self.choose_workers(waiting);
@@ -159,11 +187,22 @@
         if started == 0 || (waiting.spec.gang && started < waiting.tasks.len()) {
             return 0;
         }
+        self.start_chosen(waiting, placed);
+        started
+    }
+
+    /// Starts tasks of a step on the workers that are chosen for them.
+    fn start_chosen(&mut self, waiting: &WaitingStep<'_>, placed: Vec<Placed>) {
+        let started = placed.len();
+        if started == 0 {
+            return;
+        }
+        let service = &waiting.queue.service;
         let workers: Vec<WorkerId> = placed.iter().map(|(_, worker, _)| worker.clone()).collect();
         self.unindex(workers.iter());
         self.start_placed(waiting.key, waiting.spec, placed, waiting.now);
         self.index_again(workers);
-        let used = charge.times(started as u64);
+        let used = waiting.spec.charge().times(started as u64);
         self.rooms.get_mut(service).start(&used);
         if waiting.is_urgent() {
             self.speeds.record_urgent_start(service, &used, waiting.now);
@@ -172,7 +211,6 @@
         if waiting.has_turn {
             self.end_turn(service);
         }
-        started
     }
 
     /// Prepares room for `tasks` tasks that found none: requests advice, preempts less urgent work
@@ -195,20 +233,13 @@
     }
 
     fn start_placed(&mut self, key: &StepKey, spec: &StepSpec, placed: Vec<Placed>, now: Millis) {
-        let highest = self
-            .step(key)
-            .and_then(|step| step.tasks.started().map(|(_, task)| task.attempt).max())
-            .unwrap_or(0);
-        let shared = Cell::next_attempt(self.epoch, highest);
+        let epoch = self.epoch;
+        let attempts = self.step(key).map(|step| step.next_attempts(epoch, spec.gang, &placed));
+        let attempts = attempts.unwrap_or_default();
         if spec.gang {
             self.share_gang_checkpoint(key);
         }
-        for (index, worker, ticket) in placed {
-            let last = self
-                .step(key)
-                .and_then(|step| step.tasks.get(index))
-                .map_or(0, |task| task.attempt);
-            let attempt = if spec.gang { shared } else { Cell::next_attempt(self.epoch, last) };
+        for ((index, worker, ticket), attempt) in placed.into_iter().zip(attempts) {
             let task = TaskKey { step: key.clone(), index };
             self.start_run(&worker, task, spec, attempt, ticket, now);
             self.begin_trial(&worker, key, index, now);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -1,11 +1,12 @@
 //! In-memory state of workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use libs::compact_str::CompactString;
-use types::{DomainId, Millis, RackId, Resources, TeamId, WorkerId};
+use types::{DomainId, JobId, Millis, RackId, Resources, TeamId, WorkerId};
 
+use crate::accounts::WorkerAccount;
 use crate::model::{QueuePolicy, StepKey, StepSpec, TaskKey};
 
 /// Allowance for a worker's clock that runs slower than the leader's, in percent: up to 2, and a
@@ -225,6 +226,10 @@
     /// Its service has hardly any slow workers. Learned differences between these do not count: all
     /// work would look for the fastest.
     pub(crate) is_among_equals: bool,
+    /// What is stored of its lost runs; none for a worker that no leader has stored yet.
+    pub(crate) account: Option<WorkerAccount>,
+    /// Jobs with losses by this worker that may not be stored yet.
+    pub(crate) jobs_with_losses: BTreeSet<JobId>,
     /// Task that may crash the worker, and has just started there.
     pub(crate) trial: Option<crate::losses::Trial>,
 }
@@ -263,6 +268,8 @@
             slowness_by_progress: 0.0,
             learned_slowness: None,
             is_among_equals: false,
+            account: None,
+            jobs_with_losses: BTreeSet::new(),
             trial: None,
         }
     }
--- a/components/cell/tests/crashing_tasks.rs
+++ b/components/cell/tests/crashing_tasks.rs
@@ -101,6 +101,27 @@
     }
 }
 
+/// Guards against crashes that count for nothing: the store is down, so that the leader cannot store them, and
+/// the leader dies before the store is back, again and again. Neighbours are not blamed.
+#[test]
+fn crashes_in_outages_of_the_store_count_although_leaders_die() {
+    for seed in 0..40 {
+        let mut sim = simulation(seed, Some(DEADLY));
+        sim.crashed_return_replaced = seed % 2 == 0;
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut at_ms = rng.random_range(800..4_000);
+        for _ in 0..rng.random_range(2..7) {
+            let down_ms = rng.random_range(500..5_000);
+            sim.store_outage_at(Millis(at_ms), down_ms);
+            let left_ms = rng.random_range(0..down_ms.min(1_000));
+            let gap_ms = left_ms + rng.random_range(300..1_500);
+            sim.kill_leader_at(Millis(at_ms + down_ms - left_ms), gap_ms);
+            at_ms += down_ms + gap_ms + rng.random_range(500..4_000);
+        }
+        check(&mut sim, Some(DEADLY), &format!("seed {seed}"));
+    }
+}
+
 /// Guards against tasks that are blamed for what happens to their workers.
 #[test]
 fn no_job_fails_for_workers_that_crash_for_other_reasons() {
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -15,6 +15,7 @@
     Action, AdvicePolicy, Batch, Cell, CellSettings, EvacuationChange, EvacuationRequest,
     ForecastOutcome, JobRecord, Policy, PollAnswer, PollOrder, Progress, RosterRow,
     RunTimesSummary, StartAnswer, StartOrder, StartPermission, StepKey, StopOrder, TaskKey,
+    WorkerAccount,
 };
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
@@ -203,7 +204,7 @@
     cell: Cell,
     deposed: bool,
     /// The last roster that is known to be stored.
-    known_roster: Vec<RosterRow>,
+    known_roster: (Vec<RosterRow>, Vec<WorkerAccount>),
     /// Number of changes of the evacuations that it has read.
     evacuations_read: usize,
     /// Number of changes of the intake that it has read.
@@ -235,7 +236,10 @@
     next: u64,
     policy: Rc<Policy>,
     terms: Vec<Term>,
+    /// Times at which the store refuses all calls of leaders.
+    store_outages: Vec<std::ops::Range<Millis>>,
     stored_roster: Vec<RosterRow>,
+    stored_accounts: Vec<WorkerAccount>,
     next_epoch: u64,
     stored_jobs: BTreeMap<JobId, JobRecord>,
     stored_progress: BTreeMap<JobId, Progress>,
@@ -297,7 +301,9 @@
             next: 0,
             policy: Rc::new(policy.clone()),
             terms: Vec::new(),
+            store_outages: Vec::new(),
             stored_roster: Vec::new(),
+            stored_accounts: Vec::new(),
             next_epoch: 1,
             stored_jobs: BTreeMap::new(),
             stored_progress: BTreeMap::new(),
@@ -382,6 +388,15 @@
         in_domain.map(|worker| worker.runs.len()).sum()
     }
 
+    /// Lets the store refuse all calls of leaders for some milliseconds.
+    pub fn store_outage_at(&mut self, at: Millis, for_ms: u64) {
+        self.store_outages.push(at..at + Millis(for_ms));
+    }
+
+    fn store_is_down(&self) -> bool {
+        self.store_outages.iter().any(|outage| outage.contains(&self.now))
+    }
+
     /// Lets the leader die at a time, and another one be elected some milliseconds later.
     pub fn kill_leader_at(&mut self, at: Millis, gap_ms: u64) {
         self.at(at, Event::LeaderDies { gap_ms });
@@ -635,6 +650,7 @@
         for row in &self.stored_roster {
             cell.restore_roster_row(row, self.now);
         }
+        self.stored_accounts.iter().for_each(|account| cell.restore_account(account));
         if let Some(summary) = &self.stored_run_times {
             cell.restore_run_times(summary);
         }
@@ -665,7 +681,7 @@
             epoch,
             cell,
             deposed: false,
-            known_roster: Vec::new(),
+            known_roster: Default::default(),
             evacuations_read,
             intake_read: self.intake.len(),
             cancels: self.stored_cancels.iter().cloned().collect(),
@@ -956,19 +972,22 @@
 
     /// Stores the roster of the leader, unless the call is lost. Its answer may be lost, too.
     fn store_roster(&mut self) {
+        if self.store_is_down() {
+            return;
+        }
         let lost = self.chance(self.faults.lose_batch);
         let unanswered = self.chance(self.faults.lose_batch);
         let now = self.now;
         let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
-        let roster = term.cell.roster(now);
-        if lost || roster == term.known_roster {
+        let states = (term.cell.roster(now), term.cell.accounts());
+        if lost || states == term.known_roster {
             return;
         }
         if !unanswered {
-            term.cell.roster_stored(&roster);
-            term.known_roster.clone_from(&roster);
+            term.cell.roster_stored(&states.0);
+            term.known_roster.clone_from(&states);
         }
-        self.stored_roster = roster;
+        (self.stored_roster, self.stored_accounts) = states;
     }
 
     fn store_run_times(&mut self) {
@@ -1054,11 +1073,11 @@
     /// The leader hands over, unless its last roster is lost.
     fn step_down(&mut self) {
         let now = self.now;
-        let lost = self.chance(self.faults.lose_batch);
+        let lost = self.chance(self.faults.lose_batch) || self.store_is_down();
         let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
-        let roster = term.cell.last_roster(now);
+        let states = (term.cell.last_roster(now), term.cell.accounts());
         if !lost {
-            self.stored_roster = roster;
+            (self.stored_roster, self.stored_accounts) = states;
         }
         let gap_ms = self.rng.random_range(20..600);
         self.kill_leader(gap_ms);
@@ -1245,7 +1264,7 @@
         let epoch = term.epoch;
         let Some(batch) = term.cell.take_batch(28) else { return };
         self.batch_in_progress = true;
-        let stored = !self.chance(self.faults.lose_batch);
+        let stored = !self.chance(self.faults.lose_batch) && !self.store_is_down();
         let delay = self.rng.random_range(3..60);
         self.after(delay, Event::BatchStored { term: epoch, batch, stored });
     }
--- a/components/cluster/src/keys.rs
+++ b/components/cluster/src/keys.rs
@@ -10,6 +10,9 @@
 pub(crate) const BATCH: &str = "batch";
 /// Worker states that the next leader needs.
 pub(crate) const ROSTER: &str = "roster";
+/// Up to which incarnation the lost runs of each worker are stored, for the next leader. Written with the
+/// roster.
+pub(crate) const ACCOUNTS: &str = "accounts";
 /// What was learned of run times, for the next leader.
 pub(crate) const RUN_TIMES: &str = "run_times";
 /// Shared secret that authenticates peers to each other.
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -5,7 +5,7 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
-use cell::{Cell, JobRecord, Progress, RetryBudget, RosterRow, StartPermission};
+use cell::{Cell, JobRecord, Progress, RetryBudget, RosterRow, StartPermission, WorkerAccount};
 use clock::CancellationToken;
 use eventlog::event;
 use job_memory::Grants;
@@ -330,11 +330,12 @@
     async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
         let store = &self.ports.store;
         let sent_ms = clock::now();
-        let (intake, progress, batch, roster, workers, evacuations) = tokio::join!(
+        let (intake, progress, batch, roster, accounts, workers, evacuations) = tokio::join!(
             store.range(keys::INTAKE),
             store.range(keys::PROGRESS),
             store.get(keys::BATCH),
             store.get(keys::ROSTER),
+            store.get(keys::ACCOUNTS),
             self.ports.directory.list(),
             self.list_evacuations(),
         );
@@ -342,6 +343,7 @@
         let (progress, _) = self.store_result(progress)?;
         let batch = self.store_result(batch)?;
         let roster = self.store_result(roster)?;
+        let accounts = self.store_result(accounts)?;
         let (workers, workers_after) = self.store_result(workers)?;
         let (evacuations, evacuations_after) = self.store_result(evacuations)?;
         let now = clock::now();
@@ -373,6 +375,10 @@
         for row in rows.unwrap_or_default() {
             cell.restore_roster_row(&row, now);
         }
+        let accounts = accounts.as_ref().and_then(read::<Vec<WorkerAccount>>);
+        for account in accounts.unwrap_or_default() {
+            cell.restore_account(&account);
+        }
         cell.evacuations_listed(evacuations, now);
         leader.evacuations_after.set(evacuations_after);
         leader.evacuations_read_ms.set(sent_ms);
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cell::{Batch, RosterRow};
+use cell::{Batch, RosterRow, WorkerAccount};
 use eventlog::event;
 use libs::tokio;
 use types::Millis;
@@ -29,6 +29,13 @@
 /// Cancellations removed in one transaction: each has a condition and a key.
 const MAX_EXPIRED_CANCELLATIONS: usize = 15;
 
+/// What the next leader needs to know of the workers.
+#[derive(Debug, Default, PartialEq)]
+pub(crate) struct WorkerStates {
+    roster: Vec<RosterRow>,
+    accounts: Vec<WorkerAccount>,
+}
+
 /// Outcome of storing a batch.
 #[derive(Clone, Copy)]
 enum BatchOutcome {
@@ -42,7 +49,7 @@
 
 impl Node {
     pub(crate) async fn store_loop(self: Rc<Self>, leader: Rc<Leader>) {
-        let mut roster = Vec::new();
+        let mut states = WorkerStates::default();
         let mut next_roster_ms = clock::now();
         loop {
             leader.store_requested.notified().await;
@@ -62,7 +69,7 @@
                 BATCH_PERIOD_MS
             };
             if clock::now() >= next_roster_ms {
-                self.store_roster(&leader, &mut roster).await;
+                self.store_roster(&leader, &mut states).await;
                 let workers = leader.polled_workers.borrow().len() as u64;
                 let period_ms = Millis(workers * ROSTER_PERIOD_US_PER_WORKER / 1_000);
                 next_roster_ms = clock::now() + period_ms;
@@ -74,11 +81,14 @@
     /// Stores all pending changes at the end of a term, and beside them the last roster. The next
     /// leader recovers what could not be stored.
     pub(crate) async fn store_remaining(&self, leader: &Leader) {
-        let roster = leader.cell.borrow_mut().last_roster(clock::now());
+        let states = {
+            let mut cell = leader.cell.borrow_mut();
+            WorkerStates { roster: cell.last_roster(clock::now()), accounts: cell.accounts() }
+        };
         let changes = async {
             while let Some(BatchOutcome::Stored(_)) = self.store_next_batch(leader).await {}
         };
-        let (stored, ()) = tokio::join!(self.write_roster(leader, &roster), changes);
+        let (stored, ()) = tokio::join!(self.write_roster(leader, &states), changes);
         if !stored {
             event!("leader.roster_unstored", "epoch" => leader.epoch());
         }
@@ -166,32 +176,36 @@
 
     /// Stores the worker states that the next leader needs. Each roster is conditional on the
     /// previous one, so that a delayed write of an older roster fails.
-    async fn store_roster(&self, leader: &Leader, last_stored: &mut Vec<RosterRow>) {
+    async fn store_roster(&self, leader: &Leader, last_stored: &mut WorkerStates) {
         if self.store_failures.get() > 0 {
             // A worker that the roster reports as silent gets no leases or tasks until a newer
             // roster is stored, which is impossible during a store outage.
             return;
         }
-        let roster = leader.cell.borrow_mut().roster(clock::now());
-        if roster == *last_stored {
+        let states = {
+            let mut cell = leader.cell.borrow_mut();
+            WorkerStates { roster: cell.roster(clock::now()), accounts: cell.accounts() }
+        };
+        if states == *last_stored {
             return;
         }
-        if self.write_roster(leader, &roster).await {
-            leader.cell.borrow_mut().roster_stored(&roster);
-            *last_stored = roster;
+        if self.write_roster(leader, &states).await {
+            leader.cell.borrow_mut().roster_stored(&states.roster);
+            *last_stored = states;
         } else {
             // The outcome is unknown: read the revision, then store the roster again.
             leader.roster_revision.set(None);
-            last_stored.clear();
+            *last_stored = WorkerStates::default();
         }
     }
 
-    /// Writes a roster on condition that the previous one is in place. Returns whether it is stored.
-    async fn write_roster(&self, leader: &Leader, roster: &Vec<RosterRow>) -> bool {
+    /// Writes a roster and the accounts on condition that the previous roster is in place. Returns whether
+    /// they are stored.
+    async fn write_roster(&self, leader: &Leader, states: &WorkerStates) -> bool {
         let Some(revision) = self.roster_revision(leader).await else { return false };
-        let value = match encode(roster) {
-            Ok(value) => value,
-            Err(error) => {
+        let (roster, accounts) = match (encode(&states.roster), encode(&states.accounts)) {
+            (Ok(roster), Ok(accounts)) => (roster, accounts),
+            (Err(error), _) | (_, Err(error)) => {
                 event!("store.encode_failed", "key" => keys::ROSTER, "error" => error.to_string());
                 return false;
             }
@@ -201,7 +215,10 @@
                 (keys::LEADER.to_owned(), leader.revision),
                 (keys::ROSTER.to_owned(), revision),
             ],
-            puts: vec![(keys::ROSTER.to_owned(), value, 0)],
+            puts: vec![
+                (keys::ROSTER.to_owned(), roster, 0),
+                (keys::ACCOUNTS.to_owned(), accounts, 0),
+            ],
             removes: Vec::new(),
         };
         let stored = self.store_result(self.ports.store.commit(&transaction).await);
