Tests: no port is tried while a process is started

Cause, as traced there: a port was tried by binding it while another test started a process, which holds a copy of the listening socket from fork to exec. The stand-in could not listen, and the test waited for it without a limit.

Change: one lock for both steps in the testbed, which the processes of the platform's tests use as well; a session fails when its stand-in has ended.

--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -14,7 +14,7 @@
 pub use client::{Client, HttpResponse};
 pub use deployment::{Deployment, DeploymentSize, binaries_dir};
 pub use load::{CallerAnswer, Load, LoadReport, LoadSettings};
-pub use ports::free_address;
+pub use ports::{free_address, spawn};
 pub use process::{Process, Usage};
 pub use rules::{OPERATOR, TestKey, vandermolen_rules};
 pub use run_log::{RunRecord, RunSummary};
--- a/components/testbed/src/process.rs
+++ b/components/testbed/src/process.rs
@@ -9,6 +9,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+use crate::ports::spawn;
+
 /// Clock ticks per second in `/proc/{pid}/stat`.
 const TICKS_PER_S: f64 = 100.0;
 /// Bytes in a kibibyte.
@@ -38,13 +40,9 @@
         let file_error = |error| Error::Io(program.display().to_string(), error);
         let log_file =
             fs::File::options().create(true).append(true).open(log).map_err(file_error)?;
-        let child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log_file)
-            .spawn()
-            .map_err(file_error)?;
+        let mut command = Command::new(program);
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log_file);
+        let child = spawn(&mut command).map_err(file_error)?;
         Ok(Self { name: name.to_owned(), child })
     }
 
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,9 +1,15 @@
 //! End-to-end tests of the `carobsill` command against the stand-in for the key-value service.
 
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Output, Stdio};
 
-use testbed::{Client, Process, binaries_dir, free_address};
+use testbed::{Client, Process, binaries_dir, free_address, spawn};
+
+/// Runs a command to its end.
+fn run(command: &mut Command) -> Output {
+    let command = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    spawn(command).unwrap().wait_with_output().unwrap()
+}
 
 const RULES: &str = "\
 - pool: {name: north, domain: north}  # Hanna
@@ -27,10 +33,11 @@
         let address = free_address();
         let args = ["platform".to_owned(), "--listen".to_owned(), address.to_string()];
         let program = binaries_dir().unwrap().join("carobsill-standin");
-        let platform =
-            Process::start("platform", &program, &args, &dir.join("platform.log")).unwrap();
+        let log = dir.join("platform.log");
+        let mut platform = Process::start("platform", &program, &args, &log).unwrap();
         let client = Client::default();
         while client.get(address, "/calls", "").is_err() {
+            assert!(platform.is_running(), "{}", std::fs::read_to_string(log).unwrap());
             std::thread::sleep(std::time::Duration::from_millis(10));
         }
         let kv = format!("http://{address}");
@@ -40,12 +47,9 @@
     /// Runs the command and appends its arguments, output and exit code to the log. Runs in the
     /// session's directory, so that the output contains no paths.
     fn run(&mut self, args: &[&str]) -> i32 {
-        let output = Command::new(env!("CARGO_BIN_EXE_carobsill"))
-            .current_dir(&self.dir)
-            .env("CAROBSILL_KV", &self.kv)
-            .args(args)
-            .output()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_carobsill"));
+        command.current_dir(&self.dir).env("CAROBSILL_KV", &self.kv).args(args);
+        let output = run(&mut command);
         let code = output.status.code().unwrap();
         let text = [output.stdout, output.stderr]
             .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
@@ -140,10 +144,9 @@
 fn a_key_is_generated_and_withdrawn() {
     let mut session = Session::start("keys");
     session.write("rules.yaml", RULES);
-    let output = Command::new(env!("CARGO_BIN_EXE_carobsill"))
-        .args(["key", "new", "--team", "mill", "mill-app", "--asked-by", "Piet, 2026-11-03"])
-        .output()
-        .unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_carobsill"));
+    command.args(["key", "new", "--team", "mill", "mill-app", "--asked-by", "Piet, 2026-11-03"]);
+    let output = run(&mut command);
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     let line = text.lines().find(|line| line.starts_with("- key")).unwrap();
     let token = text.lines().last().unwrap();
@@ -161,8 +164,8 @@
 fn the_example_rules_are_valid() {
     for user in ["vandermolen", "etosha"] {
         let file = format!("{}/examples/{user}/rules.yaml", env!("CARGO_MANIFEST_DIR"));
-        let status =
-            Command::new(env!("CARGO_BIN_EXE_carobsill")).args(["check", &file]).status().unwrap();
-        assert!(status.success(), "{file}");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_carobsill"));
+        let output = run(command.args(["check", &file]));
+        assert!(output.status.success(), "{file}");
     }
 }
