--- a/components/cell/src/announce.rs
+++ b/components/cell/src/announce.rs
@@ -7,6 +7,7 @@
 
 use eventlog::event;
 use forecast::NameHash;
+use libs::compact_str::CompactString;
 use types::{Millis, WorkerId};
 
 use crate::cell::Cell;
@@ -92,7 +93,7 @@
 
     /// Chooses the reserved workers for announced starts, and withdraws the announcements whose worker
     /// cannot take the task any more.
-    pub(crate) fn reserved_workers(
+    pub(crate) fn take_reserved_workers(
         &mut self,
         waiting: &WaitingStep<'_>,
         announced: &[u32],
@@ -101,21 +102,8 @@
         let mut slots = self.team_slots(waiting.key, waiting.spec);
         for index in announced {
             let task = TaskKey { step: waiting.key.clone(), index: *index };
-            let reserved = self.workers.iter().find(|(_, worker)| worker.is_reserved_for(&task));
-            let reserved = reserved.map(|(id, _)| id.clone());
-            let usable = reserved.filter(|_| slots > 0).filter(|id| self.may_try(id, waiting));
-            match usable {
-                Some(id) => {
-                    let incarnation =
-                        self.workers.get(&id).map_or(0, |one| one.incarnation_unix_ms);
-                    let step = self.step(waiting.key);
-                    let ticket =
-                        step.and_then(|step| step.advice.ticket(&id, incarnation, waiting.now));
-                    let ticket = ticket.map(|ticket| ticket.text.clone());
-                    if waiting.queue.advice.is_some() && ticket.is_none() {
-                        self.withdraw_announcement(&task);
-                        continue;
-                    }
+            match self.reserved_worker(&task, waiting).filter(|_| slots > 0) {
+                Some((id, ticket)) => {
                     slots -= 1;
                     placed.push((*index, id, ticket));
                 }
@@ -125,6 +113,24 @@
         placed
     }
 
+    /// The worker that is reserved for a task, with the ticket to use there, if it still accepts the task.
+    fn reserved_worker(
+        &mut self,
+        task: &TaskKey,
+        waiting: &WaitingStep<'_>,
+    ) -> Option<(WorkerId, Option<CompactString>)> {
+        let (id, worker) = self.workers.iter().find(|(_, one)| one.is_reserved_for(task))?;
+        let (id, incarnation_unix_ms) = (id.clone(), worker.incarnation_unix_ms);
+        if !self.may_try(&id, waiting) {
+            return None;
+        }
+        let advice = &self.step(waiting.key)?.advice;
+        let ticket = advice.ticket(&id, incarnation_unix_ms, waiting.now);
+        let ticket = ticket.map(|ticket| ticket.text.clone());
+        let is_missing = waiting.queue.advice.is_some() && ticket.is_none();
+        (!is_missing).then_some((id, ticket))
+    }
+
     /// Whether the worker that is reserved for a task of a step still accepts it.
     fn may_try(&mut self, id: &WorkerId, waiting: &WaitingStep<'_>) -> bool {
         let Some(worker) = self.workers.get_mut(id) else { return false };
@@ -139,8 +145,8 @@
     pub(crate) fn end_reservations(&mut self, key: &StepKey, started: &[Placed]) {
         for (index, id, _) in started {
             let task = TaskKey { step: key.clone(), index: *index };
-            let is_suspect = self.jobs.get(&key.job).and_then(|job| job.task(&task));
-            if !is_suspect.is_some_and(Task::is_suspect)
+            let state = self.jobs.get(&key.job).and_then(|job| job.task(&task));
+            if !state.is_some_and(Task::is_suspect)
                 && let Some(worker) = self.workers.get_mut(id)
             {
                 worker.trial.take_if(|trial| trial.task == task);
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -126,20 +126,20 @@
 
 /// Steps and tasks that wait for a worker.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct OpenLimits {
+pub(crate) struct WaitingWork {
     pub(crate) steps: usize,
     pub(crate) tasks: u64,
 }
 
-impl OpenLimits {
-    /// Waiting work of one job up to which further occurrences are opened: as many tasks as one occurrence
-    /// may have, and steps that take some hundred kilobytes.
-    pub(crate) const USUAL: Self = Self { steps: 1_000, tasks: MAX_TASKS };
-    /// Limits while memory is short.
+impl WaitingWork {
+    /// Up to this much of one job, further occurrences are opened: as many tasks as one occurrence may have,
+    /// and steps that take some hundred kilobytes.
+    pub(crate) const USUAL_LIMIT: Self = Self { steps: 1_000, tasks: MAX_TASKS };
+    /// The limit while memory is short.
     pub(crate) const NONE: Self = Self { steps: 0, tasks: 0 };
 
-    fn is_below(&self, limits: &Self) -> bool {
-        self.steps < limits.steps && self.tasks < limits.tasks
+    fn is_below(&self, limit: &Self) -> bool {
+        self.steps < limit.steps && self.tasks < limit.tasks
     }
 }
 
@@ -233,16 +233,16 @@
     }
 
     /// Opens occurrences that are due, oldest first: one if no open one has tasks that wait, and further
-    /// ones up to `limits`.
+    /// ones while less work than `limit` waits.
     ///
     /// Load pattern: thousands of occurrences are due at once, since the job was submitted after its due
     /// times or could not run for long. All of them would take more memory than a leader has.
-    pub(crate) fn open_due(&mut self, limits: OpenLimits, unix_ms: u64) {
+    pub(crate) fn open_due(&mut self, limit: WaitingWork, unix_ms: u64) {
         let mut waiting = self.waiting_work();
         while self.ended.is_none()
             && self.next_occurrence < self.occurrence_count()
             && self.due_unix_ms(self.next_occurrence) <= unix_ms
-            && (waiting.tasks == 0 || waiting.is_below(&limits))
+            && (waiting.tasks == 0 || waiting.is_below(&limit))
         {
             self.open_next();
             waiting.steps += self.record.spec.steps.len();
@@ -251,10 +251,10 @@
     }
 
     /// Steps and tasks of open occurrences that wait for a worker.
-    fn waiting_work(&self) -> OpenLimits {
+    fn waiting_work(&self) -> WaitingWork {
         let open = self.open_occurrences.values().flat_map(|occurrence| &occurrence.steps);
         let waiting = open.filter(|step| step.waiting > 0);
-        waiting.fold(OpenLimits::default(), |sum, step| OpenLimits {
+        waiting.fold(WaitingWork::default(), |sum, step| WaitingWork {
             steps: sum.steps + 1,
             tasks: sum.tasks + u64::from(step.waiting),
         })
--- a/components/cell/src/memory.rs
+++ b/components/cell/src/memory.rs
@@ -3,7 +3,7 @@
 use types::Millis;
 
 use crate::cell::Cell;
-use crate::job::{Job, OpenLimits};
+use crate::job::{Job, WaitingWork};
 
 /// Time after which the sum over all jobs is computed again.
 const COUNT_PERIOD_MS: Millis = Millis(1_000);
@@ -42,9 +42,10 @@
         self.memory.used_bytes
     }
 
-    pub(crate) fn open_limits(&self) -> OpenLimits {
+    /// How much work of a recurring job may wait before its further occurrences are opened.
+    pub(crate) fn open_limit(&self) -> WaitingWork {
         let is_short = self.memory.used_bytes >= self.memory.limit_bytes / 2;
-        if is_short { OpenLimits::NONE } else { OpenLimits::USUAL }
+        if is_short { WaitingWork::NONE } else { WaitingWork::USUAL_LIMIT }
     }
 
     /// Computes the memory of all jobs again, once a second.
--- a/components/cell/src/periodic.rs
+++ b/components/cell/src/periodic.rs
@@ -37,10 +37,10 @@
     pub fn tick(&mut self, now: Millis) {
         let unix_ms = self.unix_ms(now);
         self.count_memory(now);
-        let limits = self.open_limits();
+        let limit = self.open_limit();
         for id in &self.open_jobs {
             if let Some(job) = self.jobs.get_mut(id) {
-                job.open_due(limits, unix_ms);
+                job.open_due(limit, unix_ms);
             }
         }
         self.update_evacuated_workers(now);
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -170,7 +170,7 @@
     /// Starts announced tasks on the workers that are reserved for them.
     fn start_announced(&mut self, waiting: &WaitingStep<'_>, announced: &[u32]) {
         if !announced.is_empty() {
-            let placed = self.reserved_workers(waiting, announced);
+            let placed = self.take_reserved_workers(waiting, announced);
             self.start_chosen(waiting, placed.clone());
             self.end_reservations(waiting.key, &placed);
         }
