Test: the start of a suspect is stored before it is ordered

a_leader_without_its_lease_starts_nothing_on_a_worker_that_may_hold_a_longer_one expected the start of a task in the round after its worker had answered. Its run has been lost at once, so that the task is a suspect, whose start is announced since: stored first, ordered then. The test is stricter now: nothing may start before the announcement is stored, and exactly one task after it. All other tests of cell pass.

--- a/components/cell/tests/restarts.rs
+++ b/components/cell/tests/restarts.rs
@@ -273,6 +273,9 @@
     assert!(starts(&mut first.cell, Millis(2_300)).is_empty(), "no successor knows the lease");
     first.cell.set_start_permission(StartPermission::AllJobs);
     poll(&mut first.cell, "w0", 7, Vec::new(), Millis(2_400));
+    // Its run was lost at once, so that its start is stored before it is ordered.
+    assert!(starts(&mut first.cell, Millis(2_450)).is_empty(), "the start is not stored");
+    store(&mut first.cell);
     assert_eq!(starts(&mut first.cell, Millis(2_500)).len(), 1);
 }
 
