--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory implementations of the ports of a process.
 #![allow(dead_code)] // Each test file uses only some of them.
 
+pub mod fleet;
 pub mod link;
 
 use std::cell::{Cell, RefCell};
