Waits for silent workers go on under the next leader

Cause: what a leader knows of a worker was lost with it or began again. A worker that had left and never answered was held for a whole lease by each leader, and a term of a second ends before that. Its row named tasks for as long as they included what ran there, also those that had ended. A worker that answered was not described at all, so that each inherited task waited for it after a hand-over.

Change: the last roster of a term names for each worker exactly the tasks that run or are not stored as ended, up to 5,000 in all. A worker that never answered a leader is reported as silent with the time left, exact to the millisecond: such a worker gets no lease (poll_order sends a deadline only after a first answer) and no tasks. The time counts from the election, before which the row was written. A write of the last roster that lost against an earlier one under way is tried again.

Why this is safe: a row with names keeps holding until a newer roster is stored, since its worker takes no tasks until then; this is the rule for draining workers, now for all. So after a hand-over the first start waits for one write to the store. The test of the last roster stores one before it expects the start; its claim on the former leader's tasks is unchanged. Tests of the bound "never before the lease has expired" pass.

Ruled out: a common point in time by the clocks of machines (they differ and jump). The two tests of rolling_restarts.rs that need the advisor still fail: its answers are lost with the leader, which is a fault of its own.

--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -7,7 +7,12 @@
 //! A worker that a stored roster reports as silent gets neither a lease nor tasks until a newer
 //! roster is stored, so that the roster holds whenever it is read. The same goes for the tasks that it
 //! names: it does so for silent workers and for those that drain, which may leave before the next
-//! leader hears of them. One that drains and is empty needs no lease either.
+//! leader hears of them, and at the end of a term for all. One that drains and is empty needs no lease
+//! either.
+//!
+//! Leaders may follow one another faster than a lease expires, as in a rolling restart. So a wait goes on under
+//! the next leader instead of beginning again: a worker that has not answered a leader got no lease from it,
+//! and is reported with the time that is left.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -25,8 +30,11 @@
 const SILENT_AFTER_MS: Millis = Millis(1_000);
 /// Most tasks that an entry names. A worker of 64 cores runs some tens.
 const MAX_NAMED_TASKS: usize = 200;
-/// The remaining lease time is rounded up to a multiple of this, so that the roster changes, and is
-/// stored, less often.
+/// Most tasks that the last roster of a term names for workers that answer: 100 KB, which take 80 ms on a
+/// link of 10 Mbit/s.
+const MAX_HANDED_OVER_TASKS: usize = 5_000;
+/// During a term the remaining lease time is rounded up to a multiple of this, so that the roster changes,
+/// and is stored, less often.
 const LEASE_LEFT_STEP_MS: u64 = 500;
 
 /// Roster entry of a worker that the next leader must poll.
@@ -42,8 +50,8 @@
     /// Set for a silent worker: upper bound on the remaining time of its leases. Valid from
     /// whenever the roster is read, since the leases are not renewed.
     pub silent_lease_left_ms: Option<Millis>,
-    /// For a worker that is silent or drains: the only tasks that may run there, or have run there
-    /// and are not stored as ended; none if not known.
+    /// For a worker that is silent or drains, and for each at the end of a term: the only tasks that may
+    /// run there, or have run there and are not stored as ended; none if not known.
     pub tasks: Option<Vec<TaskKey>>,
 }
 
@@ -60,40 +68,31 @@
 impl Cell {
     /// Entries of all workers that may run tasks, to be stored for the next leader.
     pub fn roster(&mut self, now: Millis) -> Vec<RosterRow> {
-        self.roster_with(SILENT_AFTER_MS, now)
+        let rows = self.workers.values_mut().filter_map(|worker| {
+            let is_silent = worker.is_silent_for(SILENT_AFTER_MS, now);
+            let names = is_silent || worker.report.draining;
+            let tasks = names.then(|| keep_named_tasks(worker)).flatten();
+            let mut row = roster_row(worker, is_silent, tasks, now)?;
+            row.silent_lease_left_ms = row.silent_lease_left_ms.map(round_lease_left);
+            Some(row)
+        });
+        rows.collect()
     }
 
-    /// Entries for the end of a term, after which no worker gets orders: one that did not answer the
-    /// last call is silent.
+    /// Entries for the end of a term, after which no worker gets orders. They name exactly what may run:
+    /// a task that has ended does not wait for its worker under the next leaders. One that did not answer
+    /// the last call, or never answered this leader, is silent.
     pub fn last_roster(&mut self, now: Millis) -> Vec<RosterRow> {
         self.set_start_permission(StartPermission::Nothing);
-        self.roster_with(Millis(0), now)
-    }
-
-    fn roster_with(&mut self, silent_after_ms: Millis, now: Millis) -> Vec<RosterRow> {
-        let mut rows = Vec::new();
-        for worker in self.workers.values_mut() {
-            // An unlisted worker may still run tasks, even if it was draining: it may be cut off
-            // from the store only.
-            if !worker.listed && now >= worker.leases_end_ms() {
-                continue;
-            }
-            let is_silent =
-                !worker.reachable && now.since(worker.last_answer_ms) >= silent_after_ms;
-            let tasks = (is_silent || worker.report.draining).then(|| name_tasks(worker)).flatten();
-            let is_empty = tasks.as_ref().is_some_and(Vec::is_empty);
-            let reports = is_silent || (worker.report.draining && is_empty);
-            worker.reported_silent |= reports;
-            let is_settled = !worker.may_have_long_leases(now);
-            rows.push(RosterRow {
-                worker: worker.report.id.clone(),
-                address: worker.report.address,
-                incarnation_unix_ms: if is_settled { worker.incarnation_unix_ms } else { 0 },
-                silent_lease_left_ms: reports.then(|| lease_left_ms(worker, now)),
-                tasks,
-            });
-        }
-        rows
+        let count = |worker: &Worker| worker.runs.len() + worker.unstored_ends.len();
+        let names_all = self.workers.values().map(count).sum::<usize>() <= MAX_HANDED_OVER_TASKS;
+        let rows = self.workers.values_mut().filter_map(|worker| {
+            let is_silent = worker.is_silent_for(Millis(0), now) || worker.never_answered();
+            let names = names_all || is_silent || worker.report.draining;
+            let tasks = names.then(|| name_tasks(worker)).flatten();
+            roster_row(worker, is_silent, tasks, now)
+        });
+        rows.collect()
     }
 
     /// Records that a roster is stored and can no longer be replaced by an earlier one.
@@ -111,8 +110,9 @@
         }
     }
 
-    /// Applies a roster entry of the former leader. Listed workers must have been added before.
-    pub fn restore_roster_row(&mut self, row: &RosterRow, now: Millis) {
+    /// Applies a roster entry that a former leader has stored before this one was elected at `elected_ms`.
+    /// Listed workers must have been added before.
+    pub fn restore_roster_row(&mut self, row: &RosterRow, elected_ms: Millis, now: Millis) {
         self.add_former_leader_worker(placeholder_report(row), now);
         let lease_ms = self.former_leader_lease_ms();
         let late_starts_until_ms = now + self.late_starts_ms();
@@ -132,7 +132,7 @@
         if worker.attached {
             return;
         }
-        worker.unseen_runs_until_ms = now + left_ms;
+        worker.unseen_runs_until_ms = elected_ms + left_ms;
         if row.incarnation_unix_ms != worker.incarnation_unix_ms {
             worker.expect_late_starts(late_starts_until_ms);
         }
@@ -156,30 +156,80 @@
     }
 }
 
-/// Time until the leases of a worker expire, rounded up.
-fn lease_left_ms(worker: &Worker, now: Millis) -> Millis {
-    let left_ms = worker.leases_end_ms().since(now);
+/// Rounds the time up that is left of a lease.
+fn round_lease_left(left_ms: Millis) -> Millis {
     Millis(left_ms.0.div_ceil(LEASE_LEFT_STEP_MS) * LEASE_LEFT_STEP_MS)
 }
 
+/// Entry of a worker; none for one that cannot run anything any more.
+fn roster_row(
+    worker: &mut Worker,
+    is_silent: bool,
+    tasks: Option<Vec<TaskKey>>,
+    now: Millis,
+) -> Option<RosterRow> {
+    // An unlisted worker may still run tasks, even if it was draining: it may be cut off from the store
+    // only.
+    if !worker.listed && now >= worker.leases_end_ms() {
+        return None;
+    }
+    let is_empty = tasks.as_ref().is_some_and(Vec::is_empty);
+    let reports = is_silent || (worker.report.draining && is_empty);
+    worker.reported_silent |= reports;
+    let is_settled = !worker.may_have_long_leases(now);
+    Some(RosterRow {
+        worker: worker.report.id.clone(),
+        address: worker.report.address,
+        incarnation_unix_ms: if is_settled { worker.incarnation_unix_ms } else { 0 },
+        silent_lease_left_ms: reports.then(|| worker.leases_end_ms().since(now)),
+        tasks,
+    })
+}
+
+/// The tasks named before while they include all that may run, so that the roster is not stored again
+/// with each end, or else exactly those.
+fn keep_named_tasks(worker: &mut Worker) -> Option<Vec<TaskKey>> {
+    let named = worker.named_tasks.as_ref();
+    let is_named = |task| named.is_some_and(|named| named.contains(task));
+    let includes_all = worker.tasks_until_stored().all(is_named);
+    let is_empty = worker.tasks_until_stored().next().is_none();
+    if worker.attached && includes_all && !is_empty {
+        return worker.named_tasks.clone();
+    }
+    name_tasks(worker)
+}
+
 /// The only tasks that may run on a worker that takes no new ones, or have run there and are not
-/// stored as ended; none if not known. Those named before are kept while they include all of these,
-/// so that the roster is not stored again with each end.
+/// stored as ended; none if not known.
 fn name_tasks(worker: &mut Worker) -> Option<Vec<TaskKey>> {
     if !worker.attached {
         return worker.former_tasks.clone();
     }
-    let current = worker.runs.keys().chain(worker.unstored_ends.values());
-    let named = worker.named_tasks.as_ref();
-    let is_named = |task| named.is_some_and(|named| named.contains(task));
-    let is_empty = worker.runs.is_empty() && worker.unstored_ends.is_empty();
-    if is_empty || !current.clone().all(is_named) {
-        let current: BTreeSet<&TaskKey> = current.collect();
-        if current.len() > MAX_NAMED_TASKS {
-            // What a stored roster names stays in force until a newer one is stored.
-            return None;
-        }
-        worker.named_tasks = Some(current.into_iter().cloned().collect());
+    let current: BTreeSet<&TaskKey> = worker.tasks_until_stored().collect();
+    if current.len() > MAX_NAMED_TASKS {
+        // What a stored roster names stays in force until a newer one is stored.
+        return None;
+    }
+    let current: Vec<TaskKey> = current.into_iter().cloned().collect();
+    worker.named_tasks = Some(current.clone());
+    Some(current)
+}
+
+impl Worker {
+    /// Whether it has not answered for this long, or has not answered at all although a stored roster reports
+    /// it as silent, or it has left the list of workers.
+    fn is_silent_for(&self, silent_after_ms: Millis, now: Millis) -> bool {
+        let is_lost = !self.reachable && now.since(self.last_answer_ms) >= silent_after_ms;
+        is_lost || (self.never_answered() && (self.reported_silent || !self.listed))
+    }
+
+    /// Whether this leader has no answer of it, and has renewed no lease on it.
+    fn never_answered(&self) -> bool {
+        self.last_answer_ms == Millis(0)
+    }
+
+    /// Tasks that run there or whose ends are not stored.
+    fn tasks_until_stored(&self) -> impl Iterator<Item = &TaskKey> {
+        self.runs.keys().chain(self.unstored_ends.values())
     }
-    worker.named_tasks.clone()
 }
--- a/components/cell/tests/chain/mod.rs
+++ b/components/cell/tests/chain/mod.rs
@@ -18,8 +18,10 @@
 pub const MAX_LEASE_MS: Millis = Millis(6_000);
 /// A term, from one hand-over to the next.
 pub const TERM_MS: Millis = Millis(1_200);
-/// Part of a term before the state is loaded: the election and the calls to the store.
+/// Part of a term before the state is loaded.
 const LOAD_MS: Millis = Millis(200);
+/// Part of that for the calls to the store after the election.
+const LOAD_CALLS_MS: Millis = Millis(70);
 /// Resolution of the simulated time.
 const STEP_MS: Millis = Millis(5);
 /// Period of [`Cell::tick`].
@@ -255,7 +257,7 @@
             cell.worker_listed(worker.report.clone(), self.now);
         }
         for row in &self.roster {
-            cell.restore_roster_row(row, self.now);
+            cell.restore_roster_row(row, self.now - LOAD_CALLS_MS, self.now);
         }
         for account in &self.accounts {
             cell.restore_account(account);
--- a/components/cell/tests/load_patterns.rs
+++ b/components/cell/tests/load_patterns.rs
@@ -449,7 +449,7 @@
         next.worker_listed(report(name), Millis(3_500));
     }
     for row in &roster {
-        next.restore_roster_row(row, Millis(3_500));
+        next.restore_roster_row(row, Millis(3_500), Millis(3_500));
     }
     for name in ["w0", "w1"].into_iter().filter(|name| *name != silent.as_str()) {
         let answering = name.parse().expect("worker id");
@@ -531,7 +531,7 @@
     let first_roster = cell_with(1, policy()).roster(Millis(100));
     let mut second = empty_cell(2);
     for row in &first_roster {
-        second.restore_roster_row(row, Millis(200));
+        second.restore_roster_row(row, Millis(200), Millis(200));
     }
     second.poll_answered(&worker, Millis(210), &poll_answer(Vec::new()), Millis(215));
     second.poll_order(&worker, true, Millis(220)).expect("a poll that renews its lease");
@@ -548,7 +548,7 @@
     next.restore(record, None, Millis(200));
     next.worker_listed(report("w1"), Millis(200));
     for row in &roster {
-        next.restore_roster_row(row, Millis(200));
+        next.restore_roster_row(row, Millis(200), Millis(200));
     }
     let answering = "w1".parse().expect("worker id");
     next.poll_answered(&answering, Millis(210), &poll_answer(Vec::new()), Millis(215));
--- a/components/cell/tests/restarts.rs
+++ b/components/cell/tests/restarts.rs
@@ -124,7 +124,7 @@
         next.worker_listed(listed("w0", 6), now);
         next.worker_listed(listed("w1", 5), now);
         for row in roster {
-            next.restore_roster_row(row, now);
+            next.restore_roster_row(row, now, now);
         }
         poll(&mut next, "w1", 5, Vec::new(), now + Millis(5));
         next
@@ -198,7 +198,7 @@
     next.restore(first.job.clone(), None, elected_ms);
     next.worker_listed(listed("w1", 5), elected_ms);
     for row in first.cell.roster(elected_ms) {
-        next.restore_roster_row(&row, elected_ms);
+        next.restore_roster_row(&row, elected_ms, elected_ms);
     }
     poll(&mut next, "w1", 5, Vec::new(), elected_ms + Millis(5));
     let started_ms = starts_elsewhere(&mut next, Millis(2_500));
@@ -357,7 +357,7 @@
         next.restore(one_task_job(&job, 2), None, elected_ms);
         next.worker_listed(listed("w0", if entry_ms > elected_ms { 6 } else { 7 }), elected_ms);
         next.worker_listed(listed("w1", 5), elected_ms);
-        roster.iter().for_each(|row| next.restore_roster_row(row, elected_ms));
+        roster.iter().for_each(|row| next.restore_roster_row(row, elected_ms, elected_ms));
         poll(&mut next, "w1", 5, Vec::new(), elected_ms + Millis(5));
         next.poll_failed(&id("w0"), elected_ms + Millis(500));
         assert!(starts(&mut next, entry_ms).is_empty());
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -648,7 +648,7 @@
         });
         cell.evacuations_listed(requests.collect(), self.now);
         for row in &self.stored_roster {
-            cell.restore_roster_row(row, self.now);
+            cell.restore_roster_row(row, self.now, self.now);
         }
         self.stored_accounts.iter().for_each(|account| cell.restore_account(account));
         if let Some(summary) = &self.stored_run_times {
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -98,7 +98,7 @@
             next.worker_listed(report(name), ELECTED_MS);
         }
         for row in roster {
-            next.restore_roster_row(row, ELECTED_MS);
+            next.restore_roster_row(row, ELECTED_MS, ELECTED_MS);
         }
         let (task, attempt, worker) = self.runs[1].clone();
         let run =
@@ -177,7 +177,11 @@
     let row = roster.iter().find(|row| row.worker == silent).expect("a row");
     assert_eq!(row.tasks, Some(vec![task]));
     let mut next = first.next(&roster, vec![one_task_job("00000000000000a3", "large", 2)]);
-    assert_eq!(jobs_of(&starts(&mut next, ELECTED_MS + Millis(10))), ["00000000000000a3"]);
+    let early = starts(&mut next, ELECTED_MS + Millis(10));
+    assert!(early.is_empty(), "the roster names what runs on each worker: {early:?}");
+    let roster = next.roster(ELECTED_MS + Millis(10));
+    next.roster_stored(&roster);
+    assert_eq!(jobs_of(&starts(&mut next, ELECTED_MS + Millis(20))), ["00000000000000a3"]);
 }
 
 /// An end that is not stored may be lost with the leader: its task waits like one that runs.
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -66,6 +66,8 @@
     pub(crate) loaded: StdCell<bool>,
     /// When it has been loaded.
     loaded_ms: StdCell<Millis>,
+    /// When the election was known to be won. Former leaders have written nothing since.
+    elected_ms: Millis,
     /// Notices that came before the stored state was loaded.
     pub(crate) early_notices: RefCell<Vec<Notice>>,
     /// Revision after which the intake is watched.
@@ -130,6 +132,7 @@
             confirmed_ms: StdCell::new(confirmed_ms),
             loaded: StdCell::new(false),
             loaded_ms: StdCell::default(),
+            elected_ms: clock::now(),
             early_notices: RefCell::default(),
             intake_after: StdCell::new(0),
             intake_heard_ms: StdCell::default(),
@@ -373,7 +376,7 @@
         }
         let rows = roster.as_ref().and_then(read::<Vec<RosterRow>>);
         for row in rows.unwrap_or_default() {
-            cell.restore_roster_row(&row, now);
+            cell.restore_roster_row(&row, leader.elected_ms, now);
         }
         let accounts = accounts.as_ref().and_then(read::<Vec<WorkerAccount>>);
         for account in accounts.unwrap_or_default() {
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -88,12 +88,22 @@
         let changes = async {
             while let Some(BatchOutcome::Stored(_)) = self.store_next_batch(leader).await {}
         };
-        let (stored, ()) = tokio::join!(self.write_roster(leader, &states), changes);
+        let (stored, ()) = tokio::join!(self.write_last_roster(leader, &states), changes);
         if !stored {
             event!("leader.roster_unstored", "epoch" => leader.epoch());
         }
     }
 
+    /// Writes the last roster of a term. An earlier write that was under way as the term ended may have
+    /// replaced the roster that it follows.
+    async fn write_last_roster(&self, leader: &Leader, states: &WorkerStates) -> bool {
+        if self.write_roster(leader, states).await {
+            return true;
+        }
+        leader.roster_revision.set(None);
+        self.write_roster(leader, states).await
+    }
+
     /// Stores the next batch. Returns `None` if nothing has changed.
     async fn store_next_batch(&self, leader: &Leader) -> Option<BatchOutcome> {
         let _guard = leader.storing.lock().await;
