A denial by the advisor holds for the incarnation that was asked about

A step that runs on few workers was never tried again on a worker that had restarted under its id, although a new boot may be of another kind: denials were kept by worker id alone, while tickets name the incarnation.

They now name it, too. An answer also replaces the one before, so that a worker which was allowed and then, after a restart, denied counts as denied only.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -5,7 +5,7 @@
 //! need while they are valid, not those of the workers with room at the moment, and different
 //! steps name different workers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use libs::compact_str::CompactString;
@@ -53,7 +53,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StepAdvice {
     tickets: BTreeMap<WorkerId, Ticket>,
-    denied: BTreeSet<WorkerId>,
+    /// Workers that the advisor denied, with the incarnation that was asked about.
+    denied: BTreeMap<WorkerId, u64>,
     /// Duration of the call in progress.
     call_pending_ms: Option<f64>,
     /// Number of calls made, and of those since a task last started.
@@ -109,8 +110,9 @@
         self.call_pending_ms.is_none() && now >= self.not_before_ms
     }
 
-    pub(crate) fn is_denied(&self, worker: &WorkerId) -> bool {
-        self.denied.contains(worker)
+    /// Whether the advisor denied this incarnation of a worker. A new one may be of another kind.
+    pub(crate) fn is_denied(&self, worker: &WorkerId, incarnation_unix_ms: u64) -> bool {
+        self.denied.get(worker) == Some(&incarnation_unix_ms)
     }
 
     /// Drops a ticket that the worker refused.
@@ -160,10 +162,12 @@
                         expires_ms,
                         incarnation_unix_ms: *incarnation_unix_ms,
                     };
+                    self.denied.remove(worker);
                     self.tickets.insert(worker.clone(), ticket);
                 }
                 None => {
-                    self.denied.insert(worker.clone());
+                    self.tickets.remove(worker);
+                    self.denied.insert(worker.clone(), *incarnation_unix_ms);
                 }
             }
         }
@@ -192,7 +196,7 @@
         let is_valid =
             |one: &AdviceCandidate<'_>| self.has_ticket(one.id, one.incarnation_unix_ms, needed_at);
         let with_room =
-            || candidates.with_room.iter().filter(|one| !self.is_denied(one.id) && !is_valid(one));
+            || candidates.with_room.iter().filter(|one| !self.denies(one) && !is_valid(one));
         let any_room = with_room().next().is_some();
         let mut asked = AskedWorkers::new(context, any_room, self.empty_answers);
         asked.lookups = candidates.with_room.len();
@@ -214,7 +218,7 @@
         }
         for one in (candidates.without_room)() {
             asked.lookups += 1;
-            let is_new = !self.is_denied(one.id) && !is_allowed(&&one);
+            let is_new = !self.denies(&one) && !is_allowed(&&one);
             if is_new && asked.add(&one, context.allow_rate) {
                 break;
             }
@@ -224,10 +228,14 @@
 
     /// Number of tasks of the step that fit on workers which the advisor has not denied.
     pub(crate) fn usable_slots(&self, candidates: &AdviceCandidates<'_>) -> u64 {
-        let usable = candidates.with_room.iter().filter(|one| !self.is_denied(one.id));
+        let usable = candidates.with_room.iter().filter(|one| !self.denies(one));
         usable.fold(0, |sum, one| sum.saturating_add(one.slots))
     }
 
+    fn denies(&self, one: &AdviceCandidate<'_>) -> bool {
+        self.is_denied(one.id, one.incarnation_unix_ms)
+    }
+
     fn has_ticket(&self, worker: &WorkerId, incarnation_unix_ms: u64, now: Millis) -> bool {
         self.ticket(worker, incarnation_unix_ms, now).is_some()
     }
--- a/components/cell/src/aging.rs
+++ b/components/cell/src/aging.rs
@@ -18,6 +18,7 @@
 use crate::ranking::Outlook;
 use crate::round::count;
 use crate::schedule::Candidate;
+use crate::worker::Worker;
 
 /// A step of which nothing has started for this long waits for a turn.
 const MAX_WAIT_MS: Millis = Millis(5_000);
@@ -154,12 +155,15 @@
     pub(crate) fn workers_to_hold(&self, step: &WaitingStep<'_>) -> BTreeSet<WorkerId> {
         let charge = step.spec.charge();
         let state = self.step(step.key);
-        let denied = |id: &WorkerId| state.is_some_and(|state| state.advice.is_denied(id));
+        let is_denied = |id: &WorkerId, worker: &Worker| {
+            state.is_some_and(|state| state.advice.is_denied(id, worker.incarnation_unix_ms))
+        };
         count(&self.work.workers, self.workers.len());
         let mut usable: Vec<(&WorkerId, f64)> = self
             .workers
             .iter()
-            .filter(|(id, worker)| worker.accepts(step.queue, step.spec, step.now) && !denied(id))
+            .filter(|(_, worker)| worker.accepts(step.queue, step.spec, step.now))
+            .filter(|(id, worker)| !is_denied(id, worker))
             .filter(|(_, worker)| worker.report.capacity.covers(&charge))
             .map(|(id, worker)| (id, worker.used.dominant_share(&worker.report.capacity)))
             .collect();
--- a/components/cell/src/evacuate.rs
+++ b/components/cell/src/evacuate.rs
@@ -394,14 +394,18 @@
         }
         let wanted = if queue.advice.is_some() { tasks * PLACES_WITH_ADVICE } else { tasks };
         let step = self.step(key);
-        let is_denied = |id: &WorkerId| step.is_some_and(|step| step.advice.is_denied(id));
+        let is_denied = |id: &WorkerId, worker: &Worker| {
+            step.is_some_and(|step| step.advice.is_denied(id, worker.incarnation_unix_ms))
+        };
         let mut found: Vec<(&WorkerId, u32)> = Vec::new();
         let mut missing = wanted;
         for (id, worker) in &self.workers {
             if missing == 0 {
                 break;
             }
-            if !worker.accepts(queue, spec, now) || is_denied(id) || self.held_workers.contains(id)
+            if !worker.accepts(queue, spec, now)
+                || is_denied(id, worker)
+                || self.held_workers.contains(id)
             {
                 continue;
             }
--- a/components/cell/src/preempt.rs
+++ b/components/cell/src/preempt.rs
@@ -109,7 +109,7 @@
         let rule = self.speed_rule(waiting);
         let fitting_tasks: u64 = self
             .workers_with_room(&queue.service, spec.charge())
-            .filter(|(id, _)| !step.advice.is_denied(id))
+            .filter(|(id, worker)| !step.advice.is_denied(id, worker.incarnation_unix_ms))
             .inspect(|_| count(&self.work.workers, 1))
             .filter(|(_, worker)| worker.accepts(queue, spec, now) && rule.may_use(worker))
             .map(|(_, worker)| worker.slots(key, spec))
--- a/components/cell/src/speeds.rs
+++ b/components/cell/src/speeds.rs
@@ -229,7 +229,7 @@
             !fleet.is_slow(worker.slowness())
                 && worker.accepts(queue, spec, now)
                 && worker.report.capacity.covers(&charge)
-                && !step.advice.is_denied(id)
+                && !step.advice.is_denied(id, worker.incarnation_unix_ms)
         })
     }
 
