A leader hands the advisor's answers on to the next one

What the advisor had answered was lost with the leader, and the order in which workers are named depends only on step and worker. So with terms of a second and calls of half a second each leader asked about the same workers, all of which had been denied, and no step got a ticket.

A leader now stores its answers under the new key `advice`: for each step of an open job the allowed and denied workers that are still known, with the incarnations that were asked about, as indexes into one table; further the number of consecutive empty answers, and the rate of allowed workers by queue. Steps that wait come first, up to 64 KiB. The key is written in the transaction of the last roster of a term, and beside another roster once a second at most if the record has changed. It costs no write of its own. The answers stay true while the worker lives. Tickets are not handed on: allowed workers are named first again.

The tests in cell/tests/handed_advice.rs that hand over fail with `restore_advice` doing nothing: the next leader names exactly the workers that were denied, and not those that were allowed. The simulation of the fault schedules hands answers over, too.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -100,6 +100,43 @@
         self.tickets.len()
     }
 
+    /// Whether any answer is known.
+    pub(crate) fn has_answers(&self) -> bool {
+        !self.tickets.is_empty() || !self.denied.is_empty()
+    }
+
+    /// Allowed workers with the incarnations that were asked about.
+    pub(crate) fn allowed_incarnations(&self) -> impl Iterator<Item = (&WorkerId, u64)> {
+        self.tickets.iter().map(|(id, ticket)| (id, ticket.incarnation_unix_ms))
+    }
+
+    /// Denied workers with the incarnations that were asked about.
+    pub(crate) fn denied_incarnations(&self) -> impl Iterator<Item = (&WorkerId, u64)> {
+        self.denied.iter().map(|(id, incarnation_unix_ms)| (id, *incarnation_unix_ms))
+    }
+
+    /// Consecutive answers that allowed none of the workers named.
+    pub(crate) fn empty_answers(&self) -> u32 {
+        self.empty_answers
+    }
+
+    /// Restores the answers to a former leader. The tickets have expired.
+    pub(crate) fn restore(
+        &mut self,
+        allowed: Vec<(WorkerId, u64)>,
+        denied: Vec<(WorkerId, u64)>,
+        empty_answers: u32,
+    ) {
+        let expired = |incarnation_unix_ms| Ticket {
+            text: CompactString::default(),
+            expires_ms: Millis(0),
+            incarnation_unix_ms,
+        };
+        self.tickets = allowed.into_iter().map(|(id, started)| (id, expired(started))).collect();
+        self.denied = denied.into_iter().collect();
+        self.empty_answers = empty_answers.min(MAX_DOUBLINGS);
+    }
+
     /// A call is in progress.
     pub(crate) fn call_pending(&self) -> bool {
         self.call_pending_ms.is_some()
@@ -372,6 +409,17 @@
         self.0.get(queue).copied().unwrap_or(ALLOW_PROBABILITY)
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&QueueId, f64)> {
+        self.0.iter().map(|(queue, rate)| (queue, *rate))
+    }
+
+    /// Restores a rate that a former leader has stored.
+    pub(crate) fn restore(&mut self, queue: &QueueId, rate: f64) {
+        if (0.0..=1.0).contains(&rate) {
+            self.0.insert(queue.clone(), rate);
+        }
+    }
+
     /// Counts an answer on `asked` workers that a step had not named before.
     pub(crate) fn record(&mut self, queue: &QueueId, asked: usize, allowed: usize) {
         if asked == 0 {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -7,6 +7,7 @@
 mod accounts;
 mod action;
 mod advice;
+mod advice_records;
 mod aging;
 mod announce;
 mod ask;
@@ -48,6 +49,7 @@
 
 pub use accounts::WorkerAccount;
 pub use action::{Action, PaceOrder, PollOrder, Refusal, StartAnswer, StartOrder, StopOrder};
+pub use advice_records::{AdviceRecords, MAX_ADVICE_BYTES};
 pub use batch::{Batch, StoredEnd};
 pub use budget::RetryBudget;
 pub use cell::{Cell, CellSettings};
--- a/components/cell/tests/handed_advice.rs
+++ b/components/cell/tests/handed_advice.rs
@@ -1,12 +1,14 @@
-//! Answers of the advisor: for which workers they hold.
+//! Answers of the advisor: for which workers they hold, and that they outlive the leader.
 
 mod simulation;
 
 use std::collections::BTreeSet;
 
 use cell::{
-    Action, AdvicePolicy, Cell, CellSettings, JobRecord, PollAnswer, QueuePolicy, StepKey, StepSpec,
+    Action, AdvicePolicy, AdviceRecords, Cell, CellSettings, JobRecord, MAX_ADVICE_BYTES,
+    PollAnswer, QueuePolicy, Recurrence, StepKey, StepSpec,
 };
+use libs::postcard;
 use simulation::{job, policy, report};
 use types::{Millis, Resources, WorkerId};
 
@@ -92,6 +94,25 @@
         self.cell.poll_answered(&name.parse().expect("worker id"), sent_ms, &answer, self.now);
     }
 
+    /// The leader that follows, with the job of this one. Its workers have not been found yet.
+    fn successor(&self, record: &JobRecord) -> Self {
+        let mut next = Self::new(self.cell.epoch() + 1);
+        next.now = self.now + Millis(1_000);
+        next.cell.restore(record.clone(), None, next.now);
+        next
+    }
+
+    /// Takes over what the former leader stored.
+    fn restore_advice(&mut self, stored: &[u8]) {
+        let records: AdviceRecords = postcard::from_bytes(stored).expect("readable records");
+        self.cell.restore_advice(&records, self.now);
+    }
+
+    /// Record to be stored for the next leader.
+    fn stored_advice(&self) -> Vec<u8> {
+        postcard::to_allocvec(&self.cell.advice_records()).expect("encoded records")
+    }
+
     /// The next call for advice within [`ASK_MS`].
     fn next_call(&mut self) -> Option<Call> {
         let until = self.now + Millis(ASK_MS);
@@ -151,3 +172,176 @@
     let call = leader.next_call().expect("a call after the restart");
     assert_eq!(call.workers, [("w3".parse().expect("worker id"), INCARNATION + 1)]);
 }
+
+/// Plays a leader that gets answers to `calls` calls and hands over to the next, where `restart` is the worker
+/// that restarts meanwhile. Returns the workers of these calls, and the next leader.
+fn hand_over(
+    record: &JobRecord,
+    workers: usize,
+    calls: usize,
+    allowed: &BTreeSet<WorkerId>,
+    restart: Option<&str>,
+) -> (BTreeSet<WorkerId>, Leader) {
+    let mut leader = Leader::new(2);
+    leader.add_workers(workers);
+    leader.cell.add_job(record.clone(), leader.now);
+    let mut asked = BTreeSet::new();
+    for _ in 0..calls {
+        let call = leader.next_call().expect("a call");
+        asked.extend(call.ids());
+        leader.answer(&call, allowed);
+    }
+    let mut next = leader.successor(record);
+    for number in 0..workers {
+        let name = format!("w{number}");
+        let is_new = restart == Some(name.as_str());
+        next.add_worker(&name, if is_new { INCARNATION + 1 } else { INCARNATION });
+    }
+    next.restore_advice(&leader.stored_advice());
+    (asked, next)
+}
+
+/// Guards against a step that gets no ticket while leaders change: each of them named the same workers, all
+/// of which the advisor had denied to the one before.
+#[test]
+fn the_next_leader_does_not_name_a_worker_that_was_denied() {
+    let (denied, mut next) = hand_over(&lasting_job(), 60, 2, &BTreeSet::new(), None);
+    let call = next.next_call().expect("a call of the next leader");
+    assert!(denied.is_disjoint(&call.ids()), "named again: {:?}", call.ids());
+    assert!(call.workers.len() > 6, "few are named after empty answers: {}", call.workers.len());
+}
+
+/// Guards against a leader that hands on only what it has asked itself.
+#[test]
+fn answers_outlive_several_leaders() {
+    let record = lasting_job();
+    let (denied, first) = hand_over(&record, 60, 2, &BTreeSet::new(), None);
+    // It has neither workers that answered nor calls of its own.
+    let mut second = first.successor(&record);
+    (0..60).for_each(|number| second.cell.worker_listed(report(&format!("w{number}")), second.now));
+    second.restore_advice(&first.stored_advice());
+    let mut third = second.successor(&record);
+    third.add_workers(60);
+    third.restore_advice(&second.stored_advice());
+    let call = third.next_call().expect("a call");
+    assert!(denied.is_disjoint(&call.ids()), "named again: {:?}", call.ids());
+}
+
+/// Guards against tasks that start on a ticket of the former leader, and against calls that look for
+/// other workers first.
+#[test]
+fn the_next_leader_names_allowed_workers_first() {
+    let record = lasting_job();
+    let named_by = |calls| hand_over(&record, 60, calls, &BTreeSet::new(), None).0;
+    // Those that the third call names.
+    let allowed = &named_by(3) - &named_by(2);
+    let (_, mut next) = hand_over(&record, 60, 3, &allowed, None);
+    let call = next.next_call().expect("a call of the next leader, without a start before it");
+    assert!(call.ids().is_subset(&allowed), "others are named: {:?}", call.ids());
+}
+
+/// Guards against a worker that is never used again for a step, since its former incarnation, of another
+/// kind, was denied to a former leader.
+#[test]
+fn the_next_leader_asks_about_a_worker_that_has_restarted() {
+    let (denied, mut next) = hand_over(&lasting_job(), 4, 1, &BTreeSet::new(), Some("w2"));
+    assert_eq!(denied.len(), 4, "workers without an answer");
+    let call = next.next_call().expect("a call of the next leader");
+    assert_eq!(call.workers, [("w2".parse().expect("worker id"), INCARNATION + 1)]);
+}
+
+/// Guards against answers that are lost since no task of a later occurrence has run.
+#[test]
+fn answers_on_a_later_occurrence_are_handed_on() {
+    let mut record = lasting_job();
+    record.spec.recurrence = Some(Recurrence {
+        first_unix_ms: 1_700_000_000_000,
+        interval_ms: Millis(1),
+        occurrences: 3,
+    });
+    let (denied, mut next) = hand_over(&record, 60, 6, &BTreeSet::new(), None);
+    assert!(denied.len() > 6, "few workers are denied");
+    assert!(next.cell.advice_records().steps() > 1, "answers on one occurrence only");
+    assert!(next.next_call().is_some());
+}
+
+/// Guards against answers on jobs and workers that are gone.
+#[test]
+fn only_open_jobs_and_known_workers_are_in_the_record() {
+    let record = lasting_job();
+    let (_, next) = hand_over(&record, 60, 2, &BTreeSet::new(), None);
+    assert!(next.cell.advice_records().denied() > 6);
+    // A leader that knows none of these workers.
+    let mut other = next.successor(&record);
+    other.restore_advice(&next.stored_advice());
+    assert_eq!(other.cell.advice_records().denied(), 0);
+    let mut ended = next.successor(&record);
+    ended.add_workers(60);
+    ended.cell.cancel_job(&record.id, Millis(0), ended.now);
+    ended.restore_advice(&next.stored_advice());
+    assert_eq!(ended.cell.advice_records().steps(), 0);
+}
+
+/// Most workers, steps and workers asked about for a step in the largest fleet.
+const LARGE_FLEET: usize = 5_000;
+const STEPS: usize = 3_000;
+const ASKED_OF_STEP: usize = 90;
+
+/// Guards against a record that fills the link or is too large for the store.
+#[test]
+fn the_record_of_a_large_fleet_is_bounded() {
+    let mut leader = Leader::new(2);
+    let ids: Vec<WorkerId> = (0..LARGE_FLEET)
+        .map(|number| format!("i-{number:010x}").parse().expect("worker id"))
+        .collect();
+    for id in &ids {
+        let mut report = report(id.as_str());
+        report.incarnation_unix_ms = 1_700_000_000_000;
+        leader.cell.worker_listed(report, leader.now);
+    }
+    for number in 0..STEPS {
+        let mut record = lasting_job();
+        record.id = format!("{number:016x}").parse().expect("job id");
+        let step = StepKey { job: record.id.clone(), occurrence: 0, step: 0 };
+        leader.cell.add_job(record, leader.now);
+        // The workers of one step take more than the whole record.
+        let count = if number == 0 { LARGE_FLEET } else { ASKED_OF_STEP };
+        let asked: Vec<_> = (0..count)
+            .map(|place| (ids[(number * 37 + place) % LARGE_FLEET].clone(), 1_700_000_000_000))
+            .collect();
+        let allowed: Vec<_> =
+            asked.iter().step_by(10).map(|(id, _)| (id.clone(), "ticket".into())).collect();
+        let answer = Some((allowed.as_slice(), ADVICE.valid_ms));
+        leader.cell.advice_answered(number as u64, &step, &asked, answer, leader.now);
+    }
+    let records = leader.cell.advice_records();
+    let bytes = leader.stored_advice().len();
+    assert!(bytes <= MAX_ADVICE_BYTES, "{bytes} bytes");
+    assert!(bytes > MAX_ADVICE_BYTES * 9 / 10, "only {bytes} bytes are used");
+    // A step takes a third of the record at most, and the workers of any other one some 2,100 bytes.
+    assert!(records.steps() > 20, "one step takes most: {} steps", records.steps());
+    assert!(records.allowed() > records.steps(), "{} allowed", records.allowed());
+}
+
+/// Guards against a leader that fails on a record with values that no leader has written.
+#[test]
+fn a_damaged_record_is_harmless() {
+    let record = lasting_job();
+    let step = |occurrence, step| StepKey { job: record.id.clone(), occurrence, step };
+    let w1: WorkerId = "w1".parse().expect("worker id");
+    let indexes = vec![0u32, 1, u32::MAX];
+    let steps = vec![
+        (step(0, 0), indexes.clone(), indexes.clone(), u32::MAX),
+        (step(u32::MAX, 0), indexes.clone(), Vec::new(), 0),
+        (step(0, 7), indexes.clone(), Vec::new(), 0),
+    ];
+    let rates = vec![(record.queue.clone(), f64::NAN), (record.queue.clone(), -3.0)];
+    let stored = postcard::to_allocvec(&(vec![(w1, INCARNATION)], steps, rates)).expect("record");
+    let mut leader = Leader::new(2).successor(&record);
+    // A call names a hundred of them at most.
+    leader.add_workers(150);
+    leader.restore_advice(&stored);
+    let call = leader.next_call().expect("a call");
+    leader.answer(&call, &BTreeSet::new());
+    assert!(leader.next_call().is_some());
+}
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -12,10 +12,10 @@
 use std::rc::Rc;
 
 use cell::{
-    Action, AdvicePolicy, Batch, Cell, CellSettings, EvacuationChange, EvacuationRequest,
-    ForecastOutcome, JobRecord, Policy, PollAnswer, PollOrder, Progress, RosterRow,
-    RunTimesSummary, StartAnswer, StartOrder, StartPermission, StepKey, StopOrder, TaskKey,
-    WorkerAccount,
+    Action, AdvicePolicy, AdviceRecords, Batch, Cell, CellSettings, EvacuationChange,
+    EvacuationRequest, ForecastOutcome, JobRecord, Policy, PollAnswer, PollOrder, Progress,
+    RosterRow, RunTimesSummary, StartAnswer, StartOrder, StartPermission, StepKey, StopOrder,
+    TaskKey, WorkerAccount,
 };
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
@@ -240,6 +240,7 @@
     store_outages: Vec<std::ops::Range<Millis>>,
     stored_roster: Vec<RosterRow>,
     stored_accounts: Vec<WorkerAccount>,
+    stored_advice: AdviceRecords,
     next_epoch: u64,
     stored_jobs: BTreeMap<JobId, JobRecord>,
     stored_progress: BTreeMap<JobId, Progress>,
@@ -304,6 +305,7 @@
             store_outages: Vec::new(),
             stored_roster: Vec::new(),
             stored_accounts: Vec::new(),
+            stored_advice: AdviceRecords::default(),
             next_epoch: 1,
             stored_jobs: BTreeMap::new(),
             stored_progress: BTreeMap::new(),
@@ -651,6 +653,7 @@
             cell.restore_roster_row(row, self.now, self.now);
         }
         self.stored_accounts.iter().for_each(|account| cell.restore_account(account));
+        cell.restore_advice(&self.stored_advice, self.now);
         if let Some(summary) = &self.stored_run_times {
             cell.restore_run_times(summary);
         }
@@ -987,6 +990,7 @@
             term.cell.roster_stored(&states.0);
             term.known_roster.clone_from(&states);
         }
+        self.stored_advice = term.cell.advice_records();
         (self.stored_roster, self.stored_accounts) = states;
     }
 
@@ -1077,6 +1081,7 @@
         let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
         let states = (term.cell.last_roster(now), term.cell.accounts());
         if !lost {
+            self.stored_advice = term.cell.advice_records();
             (self.stored_roster, self.stored_accounts) = states;
         }
         let gap_ms = self.rng.random_range(20..600);
--- a/components/cluster/src/keys.rs
+++ b/components/cluster/src/keys.rs
@@ -13,6 +13,8 @@
 /// Up to which incarnation the lost runs of each worker are stored, for the next leader. Written with the
 /// roster.
 pub(crate) const ACCOUNTS: &str = "accounts";
+/// Answers of the advisor, for the next leader. Written with the roster.
+pub(crate) const ADVICE: &str = "advice";
 /// What was learned of run times, for the next leader.
 pub(crate) const RUN_TIMES: &str = "run_times";
 /// Shared secret that authenticates peers to each other.
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -16,6 +16,7 @@
 
 use crate::capacity::CapacityForecast;
 use crate::codec::decode;
+use crate::handed_advice::StoredAdvice;
 use crate::intake::{Notice, Source, cancellation_age};
 use crate::keys;
 use crate::load::LoadMeter;
@@ -90,6 +91,8 @@
     pub(crate) batch_revision: StdCell<u64>,
     /// Revision of the stored roster; `None` if unknown.
     pub(crate) roster_revision: StdCell<Option<u64>>,
+    /// What is stored of the advisor's answers.
+    pub(crate) stored_advice: StoredAdvice,
     /// Limits hedged polls.
     pub(crate) hedge_budget: RefCell<RetryBudget>,
     /// Workers with a running polling loop.
@@ -144,6 +147,7 @@
             intake_is_overdue: StdCell::default(),
             batch_revision: StdCell::new(0),
             roster_revision: StdCell::new(None),
+            stored_advice: StoredAdvice::default(),
             hedge_budget: RefCell::default(),
             polled_workers: RefCell::default(),
             ends_stored: RefCell::default(),
@@ -333,12 +337,13 @@
     async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
         let store = &self.ports.store;
         let sent_ms = clock::now();
-        let (intake, progress, batch, roster, accounts, workers, evacuations) = tokio::join!(
+        let (intake, progress, batch, roster, accounts, advice, workers, evacuations) = tokio::join!(
             store.range(keys::INTAKE),
             store.range(keys::PROGRESS),
             store.get(keys::BATCH),
             store.get(keys::ROSTER),
             store.get(keys::ACCOUNTS),
+            store.get(keys::ADVICE),
             self.ports.directory.list(),
             self.list_evacuations(),
         );
@@ -347,6 +352,7 @@
         let batch = self.store_result(batch)?;
         let roster = self.store_result(roster)?;
         let accounts = self.store_result(accounts)?;
+        let advice = self.store_result(advice)?;
         let (workers, workers_after) = self.store_result(workers)?;
         let (evacuations, evacuations_after) = self.store_result(evacuations)?;
         let now = clock::now();
@@ -382,6 +388,7 @@
         for account in accounts.unwrap_or_default() {
             cell.restore_account(&account);
         }
+        leader.restore_advice(&mut cell, advice.as_ref(), now);
         cell.evacuations_listed(evacuations, now);
         leader.evacuations_after.set(evacuations_after);
         leader.evacuations_read_ms.set(sent_ms);
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod election;
 mod evacuations;
+mod handed_advice;
 mod intake;
 mod keys;
 mod lag;
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -8,6 +8,7 @@
 use types::Millis;
 
 use crate::codec::{decode, encode};
+use crate::handed_advice::AdviceToStore;
 use crate::keys;
 use crate::leader::Leader;
 use crate::node::Node;
@@ -97,11 +98,11 @@
     /// Writes the last roster of a term. An earlier write that was under way as the term ended may have
     /// replaced the roster that it follows.
     async fn write_last_roster(&self, leader: &Leader, states: &WorkerStates) -> bool {
-        if self.write_roster(leader, states).await {
+        if self.write_roster(leader, states, leader.changed_advice()).await {
             return true;
         }
         leader.roster_revision.set(None);
-        self.write_roster(leader, states).await
+        self.write_roster(leader, states, leader.changed_advice()).await
     }
 
     /// Stores the next batch. Returns `None` if nothing has changed.
@@ -199,7 +200,8 @@
         if states == *last_stored {
             return;
         }
-        if self.write_roster(leader, &states).await {
+        let advice = leader.due_advice(clock::now());
+        if self.write_roster(leader, &states, advice).await {
             leader.cell.borrow_mut().roster_stored(&states.roster);
             *last_stored = states;
         } else {
@@ -209,9 +211,14 @@
         }
     }
 
-    /// Writes a roster and the accounts on condition that the previous roster is in place. Returns whether
-    /// they are stored.
-    async fn write_roster(&self, leader: &Leader, states: &WorkerStates) -> bool {
+    /// Writes a roster, the accounts and answers of the advisor on condition that the previous roster is in
+    /// place. Returns whether they are stored.
+    async fn write_roster(
+        &self,
+        leader: &Leader,
+        states: &WorkerStates,
+        advice: Option<AdviceToStore>,
+    ) -> bool {
         let Some(revision) = self.roster_revision(leader).await else { return false };
         let (roster, accounts) = match (encode(&states.roster), encode(&states.accounts)) {
             (Ok(roster), Ok(accounts)) => (roster, accounts),
@@ -220,7 +227,7 @@
                 return false;
             }
         };
-        let transaction = Transaction {
+        let mut transaction = Transaction {
             expected: vec![
                 (keys::LEADER.to_owned(), leader.revision),
                 (keys::ROSTER.to_owned(), revision),
@@ -231,7 +238,9 @@
             ],
             removes: Vec::new(),
         };
+        transaction.puts.extend(advice.as_ref().map(AdviceToStore::put));
         let stored = self.store_result(self.ports.store.commit(&transaction).await);
+        leader.advice_written(advice, matches!(stored, Ok(Commit::Done(_))));
         let Ok(Commit::Done(revision)) = stored else { return false };
         leader.roster_revision.set(Some(revision));
         true
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use cell::{
-    CellSettings, EndedRun, Ending, EvacuationChange, EvacuationRequest, JobRecord, JobSpec,
-    PaceOrder, Policy, PollAnswer, PollOrder, QueuePolicy, StartAnswer, StartOrder, StepKey,
-    StepSpec, StopOrder, WorkerReport,
+    AdvicePolicy, CellSettings, EndedRun, Ending, EvacuationChange, EvacuationRequest, JobRecord,
+    JobSpec, PaceOrder, Policy, PollAnswer, PollOrder, QueuePolicy, StartAnswer, StartOrder,
+    StepKey, StepSpec, StopOrder, WorkerReport,
 };
 use cluster::{
     Advice, Advisor, Change, Commit, Configuration, Directory, Evacuations, Item, LocalBoxFuture,
@@ -28,6 +28,9 @@
 /// Duration of a call to a worker.
 const WORKER_CALL_MS: Millis = Millis(3);
 
+/// How long a ticket of the advisor is valid.
+const TICKET_VALID_MS: Millis = Millis(2_000);
+
 /// Time after which an unanswered call to the store is given up.
 const CALL_TIMEOUT_MS: Millis = Millis(900);
 /// Duration of an unanswered call, longer than any test.
@@ -102,6 +105,10 @@
     pub evacuations_are_unreadable: Cell<bool>,
     /// Number of reads of the requests.
     pub evacuation_reads: Cell<u32>,
+    /// Tasks need advice, and the advisor denies all workers.
+    pub denies_all_workers: Cell<bool>,
+    /// Workers that the advisor was asked about, for each call.
+    pub asked: RefCell<Vec<Vec<WorkerId>>>,
     /// Keys written by each applied transaction.
     pub commits: RefCell<Vec<Vec<String>>>,
 }
@@ -514,10 +521,17 @@
     fn advise<'a>(
         &'a self,
         _step: &'a StepKey,
-        _workers: &'a [WorkerId],
+        workers: &'a [WorkerId],
         _timeout_ms: Millis,
     ) -> LocalBoxFuture<'a, Option<Advice>> {
-        Box::pin(std::future::ready(None))
+        Box::pin(async move {
+            if !self.0.denies_all_workers.get() {
+                return None;
+            }
+            sleep(WORKER_CALL_MS).await;
+            self.0.asked.borrow_mut().push(workers.to_vec());
+            Some(Advice { allowed: Vec::new(), valid_ms: TICKET_VALID_MS })
+        })
     }
 }
 
@@ -543,7 +557,9 @@
 
     fn parse(&self, _text: &[u8]) -> errors::Result<Rules> {
         let mut policy = Policy { version: 1, ..Policy::default() };
-        policy.queues.insert("orders".parse()?, queue());
+        let advice = AdvicePolicy { call_ms: 20.0, per_worker_ms: 1.0, valid_ms: TICKET_VALID_MS };
+        let advice = self.0.denies_all_workers.get().then_some(advice);
+        policy.queues.insert("orders".parse()?, QueuePolicy { advice, ..queue() });
         Ok(Rules { policy: Rc::new(policy), ..Rules::default() })
     }
 }
