A process that stops during its election does not take the lead

Nobody led for as long as a lease lasts after a process had been stopped while it stood for election. Whether it stops was checked only before its first call to the store. It stepped down while it had no term, won the election some calls later, and led while it drained; the lease outlived the process.

It now checks once more before the transaction, and once after it, since the stop may come during that call. In either case it ends its lease, so that the lead is free at once.

a_process_that_stops_during_its_election_does_not_keep_the_lead (election.rs) stops processes after each of the first 60 calls to the store.

--- a/components/cluster/src/election.rs
+++ b/components/cluster/src/election.rs
@@ -187,6 +187,9 @@
             ],
             removes: Vec::new(),
         };
+        if self.stopping.is_cancelled() {
+            return self.leave_election(info.epoch, lease).await;
+        }
         let revision = match self.store_result(store.commit(&transaction).await) {
             Ok(Commit::Done(revision)) => Some(revision),
             Ok(Commit::Conflict) => None,
@@ -197,6 +200,10 @@
             Err(error) => return Err(error),
         };
         match revision {
+            // The stop came during the call, and has found no term to end.
+            Some(_) if self.stopping.is_cancelled() => {
+                return self.leave_election(info.epoch, lease).await;
+            }
             Some(revision) => {
                 event!("leader.elected", "epoch" => info.epoch, "name" => info.peer.name.as_str(),
                     "leaderless_ms" => leaderless_ms.0, "in_cooldown" => self.cooling_down());
@@ -213,6 +220,13 @@
         Ok(())
     }
 
+    /// Ends the lease of a candidate that stops, so that another process can be elected at once.
+    async fn leave_election(&self, epoch: u64, lease: u64) -> Result<(), StoreError> {
+        event!("leader.election_left", "epoch" => epoch, "why" => "shutting down");
+        // The lease expires if this call fails.
+        self.store_result(self.ports.store.end_lease(lease).await)
+    }
+
     /// Records for the next election that a larger process exists, so that small ones leave it to those
     /// that are as large.
     ///
--- a/components/cluster/tests/election.rs
+++ b/components/cluster/tests/election.rs
@@ -155,3 +155,47 @@
     let elections = environment.count_writes("leader");
     assert!(elections <= 2, "{elections} elections");
 }
+
+/// More than a process makes until it has been elected for the first time.
+const STORE_CALLS: u32 = 60;
+/// Longer than the store calls of an election.
+const CAMPAIGN_MS: Millis = Millis(800);
+
+/// Starts a process alone and stops it after so many calls to the store.
+async fn stop_after_calls(calls: u32, environment: Rc<Environment>) {
+    let (node, token) = (node("one", &environment), CancellationToken::new());
+    tokio::task::spawn_local(node.run(token.clone(), CancellationToken::new()));
+    while environment.store_calls.get() < calls {
+        tokio::time::sleep(Millis(1).to_duration()).await;
+    }
+    token.cancel();
+}
+
+/// Guards against seconds without a leader after a stop: a process that was stopped while its election went on
+/// took the lead after it had stepped down, and kept it in the store until the lease expired.
+#[test]
+fn a_process_that_stops_during_its_election_does_not_keep_the_lead() {
+    run(async {
+        let environments: Vec<_> =
+            (0..STORE_CALLS).map(|_| Rc::new(Environment::default())).collect();
+        let stops = (0..).zip(&environments).map(|(calls, environment)| {
+            tokio::task::spawn_local(stop_after_calls(calls, environment.clone()))
+        });
+        for stop in stops.collect::<Vec<_>>() {
+            stop.await.expect("a stop");
+        }
+        tokio::time::sleep(CAMPAIGN_MS.to_duration()).await;
+        let elected = environments.iter().filter(|one| elections(one) > 0).count();
+        assert!(elected > 0 && elected < environments.len(), "{elected} elections");
+        let leading = || -> Vec<u32> {
+            let led = |(_, one): &(u32, &Rc<Environment>)| one.value("leader").is_some();
+            (0..).zip(&environments).filter(led).map(|(calls, _)| calls).collect()
+        };
+        // A hand-over that goes on is waited for.
+        let until = clock::now() + Millis(5_000);
+        while !leading().is_empty() && clock::now() < until {
+            tokio::time::sleep(Millis(20).to_duration()).await;
+        }
+        assert_eq!(leading(), Vec::<u32>::new(), "calls after which a stopped process leads");
+    });
+}
--- a/components/cluster/tests/support/mod.rs
+++ b/components/cluster/tests/support/mod.rs
@@ -109,6 +109,8 @@
     pub denies_all_workers: Cell<bool>,
     /// Workers that the advisor was asked about, for each call.
     pub asked: RefCell<Vec<Vec<WorkerId>>>,
+    /// Number of calls to the store.
+    pub store_calls: Cell<u32>,
     /// Keys written by each applied transaction.
     pub commits: RefCell<Vec<Vec<String>>>,
 }
@@ -244,6 +246,7 @@
 impl TestPorts {
     /// Simulates the duration of a store call, and the outage if there is one.
     async fn store_call(&self) -> StoreResult<()> {
+        self.0.store_calls.set(self.0.store_calls.get() + 1);
         sleep(STORE_CALL_MS).await;
         let fails = self.0.store_is_down.get() || self.1.get();
         if fails { Err(StoreError::NotApplied) } else { Ok(()) }
