The leader says why tasks wait that could start

After an incident with accepted jobs of which nothing ran, the logs did not tell why: for a single job they showed neither the worker that held it up, nor whether room, the limit of its team or advice was missing. `cell.recovery_waiting` names workers, but no jobs, and ends with the recovery.

Change: twice a second the leader looks for tasks that have waited for over 2 s although the earlier steps are done, and finds the reason for each group of them: no configuration, no lease, starts held, a run that must end or a worker that was not seen (which, whether listed, for how much longer), back-off, a loss that is not stored, the limit of the team, advice, room, workers that take no work, or room that is reserved. `task.waiting` shows up to four of them a second, a step every 2 s at most, unusual reasons first. A new leader counts the time from its election. Each scan examines all workers once and lets up to 32 steps look for one.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -26,6 +26,7 @@
 use crate::room::Rooms;
 use crate::round::{Round, WorkCounts};
 use crate::waiting::WaitingSteps;
+use crate::waits::Waits;
 use crate::worker::Worker;
 
 /// Workers named in a usual call to the advisor.
@@ -81,6 +82,8 @@
     pub(crate) held_workers: BTreeSet<WorkerId>,
     pub(crate) turns: Turns,
     pub(crate) waiting: WaitingSteps,
+    /// Tasks that wait for long, and why.
+    pub(crate) waits: Waits,
     pub(crate) dirty: DirtyJobs,
     /// A batch was taken, and whether it is stored is not known yet.
     pub(crate) batch_in_flight: bool,
@@ -149,6 +152,7 @@
             held_workers: BTreeSet::new(),
             turns: Turns::default(),
             waiting: WaitingSteps::default(),
+            waits: Waits::default(),
             dirty: DirtyJobs::default(),
             batch_in_flight: false,
             loss_counts: LossCounts::default(),
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -43,6 +43,8 @@
     pub(crate) stalls: u32,
     /// Earliest time of the next start.
     pub(crate) not_before_ms: Millis,
+    /// Time since which it has been seen to wait, once it has started.
+    pub(crate) waits_since_ms: Option<Millis>,
 }
 
 /// One step of one occurrence.
@@ -57,6 +59,10 @@
     pub(crate) ready_ms: Option<Millis>,
     /// Time of the last start of a task.
     pub(crate) last_start_ms: Millis,
+    /// Time since which the tasks that have never started have been seen to wait.
+    pub(crate) waits_since_ms: Option<Millis>,
+    /// Last line in the log on why its tasks wait.
+    pub(crate) wait_logged_ms: Option<Millis>,
     /// End of its last turn before others.
     pub(crate) turn_ended_ms: Millis,
     /// Earliest time at which tasks may be preempted for it.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -44,6 +44,7 @@
 mod tasks;
 mod team_limit;
 mod waiting;
+mod waits;
 mod worker;
 mod worker_list;
 
@@ -72,4 +73,5 @@
 pub use runs::START_DEADLINE_MS;
 pub use speeds::SpeedCounts;
 pub use waiting::WaitingSteps;
+pub use waits::{HoldingWorker, WaitCounts, WaitReason, WaitingTasks};
 pub use worker::WorkerReport;
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -32,6 +32,11 @@
     /// Runs a scheduling round: starts the tasks that can start now. Does nothing before the first
     /// configuration.
     pub fn schedule(&mut self, now: Millis) {
+        self.run_round(now);
+        self.scan_waits(now);
+    }
+
+    fn run_round(&mut self, now: Millis) {
         let may_start = self.start_permission.allows_any() && !self.holds_starts;
         if !may_start || !self.policy_known || !self.needs_scheduling {
             return;
--- a/components/cell/src/tasks.rs
+++ b/components/cell/src/tasks.rs
@@ -26,6 +26,7 @@
         preemptions: 0,
         stalls: 0,
         not_before_ms: Millis(0),
+        waits_since_ms: None,
     }
 }
 
@@ -82,6 +83,11 @@
         self.states.iter().map(|(index, task)| (*index, task))
     }
 
+    /// The same, to be changed.
+    pub(crate) fn started_mut(&mut self) -> impl Iterator<Item = &mut Task> {
+        self.states.values_mut()
+    }
+
     /// Moves a task to another phase. A task that is done keeps nothing else.
     pub(crate) fn set_phase(&mut self, index: u32, phase: Phase) {
         if index >= self.count {
@@ -96,6 +102,9 @@
             *word = if phase == Phase::Done { *word | bit } else { *word & !bit };
         }
         if let Some(task) = self.get_mut(index) {
+            if phase != Phase::Waiting {
+                task.waits_since_ms = None;
+            }
             task.phase = phase;
         }
     }
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -502,6 +502,14 @@
         let rounds_percent = load.rounds_ms.0 * 100 / load.interval_ms.0.max(1);
         self.metrics.gauge("leader_rounds_percent", rounds_percent);
         self.metrics.gauge("steps_waiting", waiting.total());
+        let waits = leader.cell.borrow().wait_counts();
+        self.metrics.gauge("tasks_waiting_no_configuration", waits.no_configuration);
+        self.metrics.gauge("tasks_waiting_not_permitted", waits.not_permitted);
+        self.metrics.gauge("tasks_waiting_held", waits.held);
+        self.metrics.gauge("tasks_waiting_back_off", waits.back_off);
+        self.metrics.gauge("tasks_waiting_team_limit", waits.team_limit);
+        self.metrics.gauge("tasks_waiting_advice", waits.advice);
+        self.metrics.gauge("tasks_waiting_no_room", waits.no_room);
     }
 
     async fn place_tasks(self: Rc<Self>, leader: Rc<Leader>) {
