Heartbeats of earlier versions are read

Callers of an updated process were refused with 503 for want of memory while a process of an earlier version still led: once the first megabyte of accepted jobs was used up, each further one.

Cause: added two fields at the end of heartbeats. The encoding marks no lengths, so that a newer process rejected each heartbeat of an older one, both as a message (400) and as an answer. It never heard of an allowance, and an older leader takes the question for a grant for one for its rules. Older processes read the newer heartbeats, since they ignore what follows.

Why it works: a heartbeat that ends where the earlier version's does is read with no limit and no allowance. A leader that has told no limit bounds no jobs, and is not asked. Anything shorter, and any other message, is rejected as before.

Not mended: a process of an earlier version that becomes the leader after a newer one can't read the progress of open jobs with losses of the kinds Presumed and Announced, and takes them for jobs without progress. That can only be seen to on the older side.

--- a/components/cluster/src/memory.rs
+++ b/components/cluster/src/memory.rs
@@ -7,7 +7,7 @@
 
 use crate::leader::Leader;
 use crate::node::Node;
-use crate::peers::{Answer, Message};
+use crate::peers::{Answer, Message, Peer};
 use crate::requests::SubmitOutcome;
 
 /// Timeout of the question to the leader.
@@ -27,7 +27,7 @@
     fn jobs_room_bytes(&self, leader: &Leader) -> u64 {
         let now = clock::now();
         let peers = self.peers.borrow();
-        let limits = self.live_states(&peers).map(|state| state.jobs_limit_bytes);
+        let limits = self.live_states(&peers).filter_map(|state| state.jobs_limit_bytes);
         let limit = limits.min().unwrap_or(u64::MAX).min(self.jobs_limit_bytes());
         let used = leader.cell.borrow().memory_bytes();
         let room = limit.saturating_sub(used);
@@ -75,13 +75,24 @@
         Some(outcome)
     }
 
+    /// Whether a live process is of an earlier version, which bounds no jobs and grants none.
+    fn bounds_no_jobs(&self, name: &str) -> bool {
+        let peers = self.peers.borrow();
+        peers
+            .get(name)
+            .is_some_and(|state| state.is_live(clock::now()) && state.jobs_limit_bytes.is_none())
+    }
+
     /// Asks the leader whether there is memory for a job.
     async fn is_granted(&self, bytes: u64) -> bool {
         if let Some(is_granted) = self.grant_job(bytes) {
             return is_granted;
         }
-        let address = self.leader.borrow().as_ref().map(|leader| leader.peer.address);
-        let Some(address) = address else { return false };
+        let leader = self.leader.borrow().as_ref().map(|leader| leader.peer.clone());
+        let Some(Peer { name, address, .. }) = leader else { return false };
+        if self.bounds_no_jobs(&name) {
+            return true;
+        }
         let message = Message::GrantJob { bytes };
         let answer = self.send(address, &message, GRANT_TIMEOUT_MS).await;
         matches!(answer, Ok(Answer::JobGranted(true)))
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -94,8 +94,9 @@
     pub(crate) cooling_down: bool,
     /// The peer's machine is slower than usual.
     pub(crate) is_slow: bool,
-    /// Memory that accepted jobs may take in the peer, in bytes.
-    pub(crate) jobs_limit_bytes: u64,
+    /// Memory that accepted jobs may take in the peer, in bytes; none if it has not told or is of an earlier
+    /// version, which does not bound it.
+    pub(crate) jobs_limit_bytes: Option<u64>,
 }
 
 impl PeerState {
@@ -297,7 +298,7 @@
             store_answered_ms: now - heartbeat.store_age_ms,
             cooling_down: heartbeat.cooling_down,
             is_slow: heartbeat.is_slow,
-            jobs_limit_bytes: heartbeat.jobs_limit_bytes,
+            jobs_limit_bytes: Some(heartbeat.jobs_limit_bytes).filter(|bytes| *bytes > 0),
         };
         self.peers.borrow_mut().insert(heartbeat.from.name.clone(), state);
         for peer in &heartbeat.peers {
@@ -308,7 +309,7 @@
                     store_answered_ms: Millis(0),
                     cooling_down: false,
                     is_slow: false,
-                    jobs_limit_bytes: u64::MAX,
+                    jobs_limit_bytes: None,
                 });
             }
         }
--- a/components/cluster/src/peers.rs
+++ b/components/cluster/src/peers.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use cell::{JobRecord, JobStatus, StepKey};
+use errors::Result;
 use eventlog::event;
 use forecast::Forecast;
 use libs::compact_str::CompactString;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use types::{JobId, Millis, QueueId, WorkerId};
 use web::{CallError, Request, ServerRequest, ServerResponse};
@@ -70,7 +72,8 @@
     pub(crate) is_slow: bool,
     /// Forecast of capacity by a leader that holds its lease.
     pub(crate) forecast: Option<Box<Forecast>>,
-    /// Memory that accepted jobs may take in the sender, in bytes.
+    /// Memory that accepted jobs may take in the sender, in bytes; 0 from an earlier version, which does not
+    /// bound it.
     pub(crate) jobs_limit_bytes: u64,
     /// Memory of the jobs that the receiver may accept without asking; set by a leader that holds its
     /// lease.
@@ -118,6 +121,19 @@
     Rules(RawRules),
 }
 
+/// Number of heartbeats among the messages, and of their answers, in the encoding.
+const HEARTBEAT_TAG: u8 = 0;
+/// No limit, and no allowance: the fields that heartbeats of earlier versions lack at their end.
+const MISSING_FIELDS: [u8; 2] = [0, 0];
+
+/// Decodes a message or an answer of a peer, which may be of an earlier version while processes are updated.
+fn decode_from_peer<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    match decode(body) {
+        Err(_) if body.first() == Some(&HEARTBEAT_TAG) => decode(&[body, &MISSING_FIELDS].concat()),
+        decoded => decoded,
+    }
+}
+
 impl Node {
     /// Sends a message and waits for the answer.
     pub(crate) async fn send(
@@ -125,7 +141,7 @@
         address: SocketAddr,
         message: &Message,
         timeout_ms: Millis,
-    ) -> Result<Answer, CallError> {
+    ) -> std::result::Result<Answer, CallError> {
         let secret = self.secret.borrow().clone().ok_or(CallError::NotSent)?;
         let body = match encode(message) {
             Ok(body) => body,
@@ -153,13 +169,13 @@
                 return Err(error);
             }
         };
-        decode(&response.body)
+        decode_from_peer(&response.body)
             .inspect_err(|error| event!("peer.decode_failed", "error" => error.to_string()))
             .map_err(|_| CallError::Unanswered)
     }
 
     /// Checks from the head of a request that a peer sends it.
-    pub fn check_peer(&self, head: &ServerRequest) -> Result<(), ServerResponse> {
+    pub fn check_peer(&self, head: &ServerRequest) -> std::result::Result<(), ServerResponse> {
         let secret = self.secret.borrow();
         // A process that does not know the secret yet cannot tell peers from strangers.
         let is_peer = secret.is_some() && secret.as_deref() == head.header(SECRET_HEADER);
@@ -175,7 +191,7 @@
         if let Err(refusal) = self.check_peer(&request) {
             return refusal;
         }
-        let message = match decode(&request.body) {
+        let message = match decode_from_peer(&request.body) {
             Ok(message) => message,
             Err(error) => {
                 event!("peer.decode_failed", "error" => error.to_string());
