A leader whose process is young ranks jobs by their age

In a rolling restart leaders are processes that have just started. Callers saw jobs that were overdue since a minute go before those that could still be in time, and such jobs of the first priority may have preempted others.

Due times were instants on the process clock, which begins at zero: those before the start of the process were cut to it, so that every older job counted as accepted at that start. Ranks, forecasts of capacity and the time that a completed job took use Unix milliseconds now.

--- a/components/cell/src/capacity_counts.rs
+++ b/components/cell/src/capacity_counts.rs
@@ -136,14 +136,14 @@
 
     fn count_job(&self, queue: &mut QueueCount, job: &Job, policy: &QueuePolicy, now: Millis) {
         let specs = &job.record.spec.steps;
-        let unix_ms = self.unix_ms(now);
+        let unix_ms = Millis(self.unix_ms(now));
         for (number, occurrence) in &job.open_occurrences {
-            let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(*number)));
+            let due_unix_ms = job.due_by(*number, unix_ms);
             let open = |step: &Step| !step.is_done();
             let left =
                 occurrence.steps.iter().zip(&job.left_from_ms).filter(|(step, _)| open(step));
             let left_ms = left.map(|(_, left)| *left).max().unwrap_or_default();
-            let overdue = is_overdue(policy, due_ms, job.critical_path_ms, left_ms, now);
+            let overdue = is_overdue(policy, due_unix_ms, job.critical_path_ms, left_ms, unix_ms);
             // Work behind the limit of its team takes no capacity from others.
             let mut limited = false;
             for (index, (step, spec)) in (0u16..).zip(occurrence.steps.iter().zip(specs)) {
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -253,9 +253,8 @@
     /// the order of their acceptance.
     pub fn restore(&mut self, record: JobRecord, progress: Option<&Progress>, now: Millis) {
         let id = record.id.clone();
-        let age = Millis(self.unix_ms(now).saturating_sub(record.accepted_unix_ms));
         let (_, over_share) = self.count_share(&record);
-        let mut job = Job::new(record, now - age, now);
+        let mut job = Job::new(record, now);
         job.over_share = over_share;
         job.inherited = true;
         job.ended_ms = now;
@@ -279,7 +278,7 @@
         let age = Millis(self.unix_ms(now).saturating_sub(record.accepted_unix_ms));
         let (weight, over_share) = self.count_share(&record);
         self.flows.record_accepted(&record, over_share);
-        let mut job = Job::new(record, now - age, now);
+        let mut job = Job::new(record, now);
         job.over_share = over_share;
         event!("job.known", "job" => job.record.id.as_str(),
             "queue" => job.record.queue.as_str(),
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -170,10 +170,11 @@
 
     /// Closes the occurrence and the job of a task that is done, if they are complete.
     fn complete_task(&mut self, key: &TaskKey, now: Millis) {
+        let unix_ms = self.unix_ms(now);
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         if job.close_if_done(key.step.occurrence) {
             event!("job.completed", "job" => key.step.job.as_str(),
-                "took_ms" => now.since(job.accepted_ms).0);
+                "took_ms" => unix_ms.saturating_sub(job.record.accepted_unix_ms));
             self.end_job(&key.step.job, FinalState::Completed, now);
         }
     }
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -163,8 +163,6 @@
     pub(crate) end_stored: bool,
     /// Time at which the end became known; the retention time starts here.
     pub(crate) ended_ms: Millis,
-    /// Time of acceptance on the process clock.
-    pub(crate) accepted_ms: Millis,
     /// Time at which this leader learned of it.
     pub(crate) known_ms: Millis,
     /// Accepted before this process became the leader.
@@ -188,7 +186,7 @@
 }
 
 impl Job {
-    pub(crate) fn new(record: JobRecord, accepted_ms: Millis, known_ms: Millis) -> Self {
+    pub(crate) fn new(record: JobRecord, known_ms: Millis) -> Self {
         let critical_path_ms = critical_path(&record);
         let declared: Vec<Millis> = record.spec.steps.iter().map(|step| step.estimate_ms).collect();
         let left_from_ms = chains(&record.spec.steps, &declared);
@@ -198,7 +196,6 @@
             ended: None,
             end_stored: false,
             ended_ms: Millis(0),
-            accepted_ms,
             known_ms,
             inherited: false,
             has_begun: false,
@@ -232,6 +229,12 @@
         }
     }
 
+    /// Due time of an occurrence, which is `unix_ms` or earlier: the clock of the process that accepted the job may
+    /// be ahead. Both are Unix milliseconds.
+    pub(crate) fn due_by(&self, occurrence: u32, unix_ms: Millis) -> Millis {
+        unix_ms.min(Millis(self.due_unix_ms(occurrence)))
+    }
+
     pub(crate) fn open_next(&mut self) {
         let steps = self.record.spec.steps.iter().map(|step| Step::new(step.tasks)).collect();
         self.open_occurrences.insert(self.next_occurrence, Occurrence { steps, learned: None });
--- a/components/cell/src/learning.rs
+++ b/components/cell/src/learning.rs
@@ -292,7 +292,7 @@
         for (id, worker) in &mut self.workers {
             worker.learned_slowness = Some(learning.model.slowness(id));
         }
-        let unix_ms = self.unix_ms(now);
+        let unix_ms = Millis(self.unix_ms(now));
         let policy = self.policy.clone();
         for id in &self.open_jobs {
             let (Some(job), Some(learning)) = (self.jobs.get_mut(id), &self.learning) else {
@@ -302,9 +302,9 @@
             let Some(left) = job.running_path() else { continue };
             // A job without waiting steps is not ranked when others are placed.
             let Some(number) = job.open_occurrences.keys().next().copied() else { continue };
-            let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
+            let due_unix_ms = job.due_by(number, unix_ms);
             let queue = Cell::queue_policy(&policy, &job.record);
-            job.outlook = rank(queue, due_ms, &left, job.over_share, false, now).outlook;
+            job.outlook = rank(queue, due_unix_ms, &left, job.over_share, false, unix_ms).outlook;
         }
     }
 
--- a/components/cell/src/ranking.rs
+++ b/components/cell/src/ranking.rs
@@ -47,7 +47,8 @@
 pub(crate) struct Rank {
     pub(crate) outlook: Outlook,
     pub(crate) priority: u32,
-    pub(crate) deadline_ms: Millis,
+    /// In Unix milliseconds.
+    pub(crate) deadline_unix_ms: Millis,
 }
 
 impl Rank {
@@ -63,16 +64,16 @@
     Millis(stretched as u64) + policy.target_latency_ms
 }
 
-/// Whether a job is too late to be of use, and is served last.
+/// Whether a job is too late to be of use, and is served last. Times are Unix milliseconds.
 pub(crate) fn is_overdue(
     policy: &QueuePolicy,
-    due_ms: Millis,
+    due_unix_ms: Millis,
     critical_path_ms: Millis,
     left_ms: Millis,
-    now: Millis,
+    unix_ms: Millis,
 ) -> bool {
     let objective = objective_ms(policy, critical_path_ms);
-    now + left_ms > due_ms + Millis((objective.0 as f64 * LATE_FACTOR) as u64)
+    unix_ms + left_ms > due_unix_ms + Millis((objective.0 as f64 * LATE_FACTOR) as u64)
 }
 
 /// Critical path of a job, and the work left on it from a step.
@@ -86,27 +87,28 @@
 
 /// Ranks a step.
 ///
-/// `due_ms` is the time at which the job was accepted or due.
+/// `due_unix_ms` is the time at which the job was accepted or due. Times are Unix milliseconds: most jobs are
+/// older than the process of a leader that has just been started, whose clock begins at zero.
 pub(crate) fn rank(
     policy: &QueuePolicy,
-    due_ms: Millis,
+    due_unix_ms: Millis,
     path: &PathLeft,
     over_share: bool,
     long_running: bool,
-    now: Millis,
+    unix_ms: Millis,
 ) -> Rank {
     let objective = objective_ms(policy, path.critical_path_ms);
     let late_limit = Millis((objective.0 as f64 * LATE_FACTOR) as u64);
-    let ends = now + path.left_ms;
-    let slack = (due_ms + objective).since(ends);
+    let ends = unix_ms + path.left_ms;
+    let slack = (due_unix_ms + objective).since(ends);
     let deferrable_slack = Millis((objective.0 as f64 * DEFERRABLE_SLACK_FRACTION) as u64);
-    let is_safe = now + path.high_left_ms <= due_ms + objective;
+    let is_safe = unix_ms + path.high_left_ms <= due_unix_ms + objective;
     let is_deferrable = is_deferrable_queue(policy) && slack > deferrable_slack && is_safe;
     let outlook = if !long_running && is_deferrable {
         Outlook::Deferrable
-    } else if long_running || ends <= due_ms + objective {
+    } else if long_running || ends <= due_unix_ms + objective {
         Outlook::InTime
-    } else if ends <= due_ms + late_limit {
+    } else if ends <= due_unix_ms + late_limit {
         Outlook::Late
     } else {
         Outlook::Overdue
@@ -116,7 +118,7 @@
         Outlook::Late | Outlook::Overdue if over_share => Outlook::LateOverShare,
         other => other,
     };
-    Rank { outlook, priority: policy.priority, deadline_ms: due_ms + objective }
+    Rank { outlook, priority: policy.priority, deadline_unix_ms: due_unix_ms + objective }
 }
 
 /// Burst within a team's share, in seconds of its rate, since jobs arrive unevenly.
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -82,7 +82,7 @@
 
     fn candidates(&mut self, now: Millis) -> Vec<Candidate> {
         let policy = self.policy.clone();
-        let unix_ms = self.unix_ms(now);
+        let unix_ms = Millis(self.unix_ms(now));
         let mut found = Vec::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get_mut(id) else { continue };
@@ -93,10 +93,17 @@
             let queue = Cell::queue_policy(&policy, &record);
             let numbers: Vec<u32> = job.open_occurrences.keys().copied().collect();
             for number in numbers {
-                let due_ms = now - Millis(unix_ms.saturating_sub(job.due_unix_ms(number)));
+                let due_unix_ms = job.due_by(number, unix_ms);
                 for ready in ready_steps(job, number, &self.held_tasks, now) {
                     let path = job.path_from(number, ready.index, ready.left_ms);
-                    let rank = rank(queue, due_ms, &path, job.over_share, ready.long_running, now);
+                    let rank = rank(
+                        queue,
+                        due_unix_ms,
+                        &path,
+                        job.over_share,
+                        ready.long_running,
+                        unix_ms,
+                    );
                     job.outlook = rank.outlook;
                     found.push(Candidate {
                         rank,
--- a/components/cell/src/speeds.rs
+++ b/components/cell/src/speeds.rs
@@ -193,7 +193,7 @@
             return SpeedRule { work: any, fleet, fast_slots: u64::MAX };
         };
         let left_ms = job.left_from_ms.get(usize::from(key.step)).copied().unwrap_or_default();
-        let slack_ms = rank.deadline_ms.since(now + left_ms);
+        let slack_ms = rank.deadline_unix_ms.since(Millis(self.unix_ms(now)) + left_ms);
         let need = match rank.outlook {
             // Its latency depends on the speed of the worker.
             _ if spec.long_running && spec.latency_target_ms.is_some() => Need::Fastest,
