--- a/components/cell/src/waits.rs
+++ b/components/cell/src/waits.rs
@@ -543,7 +543,10 @@
         if step.advice.call_pending() {
             return WaitReason::AdvicePending;
         }
-        let denied = self.workers.keys().filter(|id| step.advice.is_denied(id)).count();
+        let is_denied = |(id, worker): &(&WorkerId, &Worker)| {
+            step.advice.is_denied(id, worker.incarnation_unix_ms)
+        };
+        let denied = self.workers.iter().filter(is_denied).count();
         match (tickets().count(), denied) {
             (0, 0) => WaitReason::AdviceNotAsked,
             (0, denied) if step.advice.allowed_count() == 0 => WaitReason::AdviceDenied { denied },
--- a/components/cell/tests/short_terms_elsewhere.rs
+++ b/components/cell/tests/short_terms_elsewhere.rs
@@ -173,7 +173,7 @@
         for worker in self.workers.values() {
             cell.worker_listed(worker.report.clone(), self.now);
         }
-        self.roster.iter().for_each(|row| cell.restore_roster_row(row, self.now));
+        self.roster.iter().for_each(|row| cell.restore_roster_row(row, self.now, self.now));
         self.accounts.iter().for_each(|account| cell.restore_account(account));
         self.cell = cell;
     }
--- a/components/cell/tests/waiting_tasks.rs
+++ b/components/cell/tests/waiting_tasks.rs
@@ -174,7 +174,7 @@
     next.restore(job(JOB, "batch", "large", vec![step(1, 1)]), None, NOW);
     next.worker_listed(report("w0"), NOW);
     next.worker_listed(report("w1"), NOW);
-    rows.iter().for_each(|row| next.restore_roster_row(row, NOW));
+    rows.iter().for_each(|row| next.restore_roster_row(row, NOW, NOW));
     poll(&mut next, "w1", Vec::new(), Vec::new(), NOW);
     next
 }
