--- a/components/cell/tests/chain/mod.rs
+++ b/components/cell/tests/chain/mod.rs
@@ -38,7 +38,9 @@
     Answers,
     /// Calls are carried out, and their answers are lost.
     AnswersLost,
-    /// No call arrives.
+    /// No call arrives but those that were sent before, and what runs goes on.
+    CutOff,
+    /// No call arrives, and nothing runs any more.
     Cut,
 }
 
@@ -102,7 +104,7 @@
     }
 
     fn poll(&mut self, order: &PollOrder, now: Millis) -> Option<PollAnswer> {
-        if self.link == Link::Cut || !self.accepts_fence(order.fence) {
+        if !self.is_reached() || !self.accepts_fence(order.fence) {
             return None;
         }
         if let Some(deadline_ms) = order.deadline_ms {
@@ -125,22 +127,30 @@
         })
     }
 
+    fn is_reached(&self) -> bool {
+        matches!(self.link, Link::Answers | Link::AnswersLost)
+    }
+
     fn start(&mut self, order: &StartOrder, now: Millis) -> StartAnswer {
-        if self.link == Link::Cut || !self.accepts_fence(order.fence) {
+        if !self.is_reached() {
             return StartAnswer::Unanswered;
         }
-        if worker_clock(now) < order.deadline_ms {
-            self.deadline_ms = self.deadline_ms.max(order.deadline_ms);
-            self.runs.insert(order.task.clone(), order.attempt);
-        }
+        self.carry_out_start(order, now);
         match self.link {
             Link::Answers => StartAnswer::Started,
             _ => StartAnswer::Unanswered,
         }
     }
 
+    fn carry_out_start(&mut self, order: &StartOrder, now: Millis) {
+        if self.accepts_fence(order.fence) && worker_clock(now) < order.deadline_ms {
+            self.deadline_ms = self.deadline_ms.max(order.deadline_ms);
+            self.runs.insert(order.task.clone(), order.attempt);
+        }
+    }
+
     fn stop(&mut self, order: &StopOrder) -> bool {
-        let carried_out = self.link != Link::Cut && self.accepts_fence(order.fence);
+        let carried_out = self.is_reached() && self.accepts_fence(order.fence);
         if carried_out {
             self.end_run(&order.task, Ending::Stopped);
         }
@@ -172,6 +182,9 @@
     pub twice: Vec<String>,
     /// Time until a poll that is not answered fails.
     pub failure_ms: Millis,
+    /// Starts are not answered, and carried out this much later.
+    pub late_starts_ms: Option<Millis>,
+    late_starts: Vec<(Millis, StartOrder)>,
     /// Times by which a poll of a worker has failed.
     pub failed_polls: Vec<(WorkerId, Millis)>,
     epoch: u64,
@@ -201,6 +214,8 @@
             starts: Vec::new(),
             twice: Vec::new(),
             failure_ms: Millis(1_000),
+            late_starts_ms: None,
+            late_starts: Vec::new(),
             failed_polls: Vec::new(),
             epoch: 0,
             jobs,
@@ -294,13 +309,21 @@
     fn run_workers_until(&mut self, until: Millis) {
         while self.now < until {
             self.now = self.now + STEP_MS;
-            self.expire_leases();
+            self.play_workers();
         }
     }
 
-    fn expire_leases(&mut self) {
+    fn play_workers(&mut self) {
         let now = self.now;
         self.workers.values_mut().for_each(|worker| worker.expire(now));
+        let due: Vec<_> = self.late_starts.extract_if(.., |(at_ms, _)| *at_ms <= now).collect();
+        for (_, order) in due {
+            let worker = self.workers.get_mut(&order.worker);
+            if let Some(worker) = worker.filter(|worker| worker.link != Link::Cut) {
+                worker.carry_out_start(&order, now);
+                self.check_runs(&order.task);
+            }
+        }
     }
 
     /// Notes a task that runs on several workers.
@@ -363,7 +386,7 @@
 
     fn step(&mut self) {
         self.chain.now = self.chain.now + STEP_MS;
-        self.chain.expire_leases();
+        self.chain.play_workers();
         let now = self.chain.now;
         self.receive_answers();
         self.send_polls();
@@ -423,6 +446,10 @@
         let now = self.chain.now;
         match action {
             Action::Start(order) => {
+                if let Some(late_ms) = self.chain.late_starts_ms {
+                    self.chain.late_starts.push((now + late_ms, *order));
+                    return;
+                }
                 let Some(worker) = self.chain.workers.get_mut(&order.worker) else { return };
                 let answer = worker.start(&order, now);
                 self.chain.starts.push(Start { at_ms: now, task: order.task.clone() });
--- a/components/cell/tests/short_terms.rs
+++ b/components/cell/tests/short_terms.rs
@@ -348,3 +348,63 @@
         assert!(excess_ms <= BOUND_MS, "after a term of {term_ms}: {excess_ms} too long");
     }
 }
+
+/// Guards against a wait of all inherited tasks for a listed worker that does not answer a new leader: the former one
+/// knew what runs there.
+#[test]
+fn a_listed_worker_that_does_not_answer_holds_only_its_own_tasks() {
+    let mut chain = Chain::new(&["w0", "w1"], vec![lasting_job(JOB, 2, 10)]);
+    chain.lead(1);
+    let kept = chain.worker("w1").runs.keys().next().expect("a task on each worker").clone();
+    let moved = chain.worker("w0").runs.keys().next().expect("a task on each worker").clone();
+    let mut term = chain.elect();
+    term.run(Millis(200));
+    term.list("w0", |report| report.draining = true);
+    term.run(Millis(200));
+    term.chain.end_run("w0", &moved);
+    term.run(Millis(200));
+    term.set_link("w0", Link::Cut);
+    term.unlist("w0");
+    term.run(Millis(400));
+    term.set_link("w1", Link::CutOff);
+    term.hand_over();
+    chain.add_worker("w2");
+    chain.add_worker("w3");
+    let elected_ms = chain.now;
+    chain.lead(3);
+    chain.lead_for(LONG_TERM_MS);
+    assert!(chain.twice.is_empty(), "{:?}", chain.twice);
+    let expired_ms = chain.worker("w1").leases_end_ms();
+    let other_ms = chain.start_after(&kept, elected_ms).expect("a start").at_ms;
+    assert!(other_ms >= expired_ms, "started at {other_ms}, leased until {expired_ms}");
+    let again_ms = chain.start_after(&moved, elected_ms).expect("a start").at_ms;
+    let took_ms = again_ms.since(elected_ms);
+    assert!(took_ms <= AT_ONCE_MS, "started {took_ms} after the hand-over");
+}
+
+/// Guards against two runs of a task: a start that was on its way at the end of a term is carried out later, on a
+/// worker that nobody reaches any more.
+#[test]
+fn a_start_on_its_way_at_the_end_of_a_term_is_waited_for() {
+    for (late_ms, drains) in [(300, false), (300, true), (900, false), (900, true), (2_000, true)] {
+        let mut chain = Chain::new(&["w0"], vec![lasting_job(JOB, 1, 2)]);
+        chain.late_starts_ms = Some(Millis(late_ms));
+        let mut term = chain.elect();
+        term.run(Millis(100));
+        if drains {
+            term.list("w0", |report| report.draining = true);
+        }
+        term.set_link("w0", Link::CutOff);
+        term.run(Millis(50));
+        term.unlist("w0");
+        term.hand_over();
+        chain.late_starts_ms = None;
+        chain.add_worker("w1");
+        let silent_ms = chain.now;
+        chain.lead(1);
+        let case = format!("a start {late_ms} late, drains: {drains}");
+        let outcome = Outcome::after(chain, 10, silent_ms, case);
+        assert!(outcome.expired_ms > silent_ms, "it was carried out: {}", outcome.describe());
+        assert_never_sooner(&[outcome]);
+    }
+}
--- a/components/cluster/tests/rolling_restarts.rs
+++ b/components/cluster/tests/rolling_restarts.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::cell::RefCell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::LazyLock;
 
@@ -28,7 +29,12 @@
 const PROCESSES: usize = 8;
 const WORKERS: usize = 30;
 const WORKER_CORES: u64 = 16;
-const LASTING_TASKS: u32 = 8;
+/// Tasks that last and need advice, and of a job that needs none: of these some are stopped whenever a leader hands
+/// over.
+const ADVISED_TASKS: u32 = 8;
+const UNADVISED_TASKS: u32 = 40;
+/// Most tasks of such a job on a worker.
+const MAX_PER_WORKER: u32 = 2;
 const LASTING_JOB: u64 = 1;
 /// Leaders keep their leases until they hand over.
 const LEADER_LEASE_MS: Millis = Millis(20_000);
@@ -38,7 +44,11 @@
 const ROLLING_MS: Millis = Millis(40_000);
 /// Calm time at the end, beyond the longest allowed gap.
 const CALM_MS: Millis = Millis(10_000);
-const REPLACE_PERIOD_MS: Millis = Millis(1_000);
+/// Times between two restarts, and between two replacements of workers.
+const RESTART_PERIODS_MS: Range<u64> = 1_000..1_300;
+const REPLACE_PERIODS_MS: Range<u64> = 800..1_200;
+/// Seed of these times.
+const SEED: u64 = 67;
 /// Time from the announcement that a worker leaves until it does.
 const DRAIN_MS: Millis = Millis(2_000);
 
@@ -227,7 +237,8 @@
 }
 
 /// Replaces one worker after the other, oldest first.
-async fn replace_workers(fleet: Rc<Fleet>, until: Millis) {
+async fn replace_workers(fleet: Rc<Fleet>, until: Millis, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
     while clock::now() < until {
         let Some(oldest) = fleet.in_service().first().cloned() else { return };
         fleet.add_worker(WORKER_CORES);
@@ -237,7 +248,7 @@
             sleep(DRAIN_MS).await;
             leaving.leave(&oldest);
         });
-        sleep(REPLACE_PERIOD_MS).await;
+        sleep(Millis(rng.random_range(REPLACE_PERIODS_MS))).await;
     }
 }
 
@@ -259,6 +270,7 @@
 
 /// What was seen in a run of rolling restarts.
 struct Seen {
+    lasting_tasks: usize,
     leaders: usize,
     lasting_runs: usize,
     gaps: Vec<Gap>,
@@ -268,8 +280,10 @@
     repeated_denials: Vec<String>,
 }
 
-/// Plays a day of rolling restarts with a job that lasts on this queue.
-async fn play(queue_name: &str) -> Seen {
+/// Plays rolling restarts with a job on this queue whose tasks last.
+async fn play(queue_name: &str, lasting_tasks: u32) -> Seen {
+    let seed = std::env::var("CAROBSILL_SEED").ok().and_then(|seed| seed.parse().ok());
+    let seed = seed.unwrap_or(SEED);
     let cluster = Cluster::new();
     for _ in 0..WORKERS {
         cluster.fleet.add_worker(WORKER_CORES);
@@ -280,20 +294,21 @@
     let fleet = cluster.fleet.clone();
     let led = cluster.wait_until(SETTLE_MS, || cluster.environment.value("leader").is_some());
     assert!(led.await, "no leader");
-    let step = StepSpec { max_per_worker: Some(2), ..lasting_step(LASTING_TASKS, 2) };
+    let step = StepSpec { max_per_worker: Some(MAX_PER_WORKER), ..lasting_step(lasting_tasks, 1) };
     cluster.submit(record(LASTING_JOB, queue_name, step)).await;
     let until = clock::now() + SETTLE_MS + ROLLING_MS;
     tokio::task::spawn_local(submit_jobs(cluster.clone(), until));
     sleep(SETTLE_MS).await;
-    assert_eq!(fleet.lasting_runs(), LASTING_TASKS as usize, "they run before the restarts");
-    tokio::task::spawn_local(replace_workers(fleet.clone(), until));
-    let mut rng = StdRng::seed_from_u64(67);
+    assert_eq!(fleet.lasting_runs(), lasting_tasks as usize, "they run before the restarts");
+    tokio::task::spawn_local(replace_workers(fleet.clone(), until, seed + 1));
+    let mut rng = StdRng::seed_from_u64(seed);
     while clock::now() < until {
-        let pause_ms = Millis(rng.random_range(1_000..1_300));
+        let pause_ms = Millis(rng.random_range(RESTART_PERIODS_MS));
         sleep(if cluster.stop_leader() { pause_ms } else { Millis(50) }).await;
     }
     sleep(CALM_MS).await;
     Seen {
+        lasting_tasks: lasting_tasks as usize,
         leaders: cluster.environment.count_writes("epoch"),
         lasting_runs: fleet.lasting_runs(),
         gaps: fleet.all_gaps(),
@@ -303,26 +318,26 @@
     }
 }
 
-fn play_on(queue_name: &str) -> Seen {
+fn play_on(queue_name: &str, lasting_tasks: u32) -> Seen {
     let mut seen = None;
-    run(async { seen = Some(play(queue_name).await) });
+    run(async { seen = Some(play(queue_name, lasting_tasks).await) });
     seen.expect("a complete run")
 }
 
 /// A run in which the tasks that last need advice, which several tests judge.
-static WITH_ADVICE: LazyLock<Seen> = LazyLock::new(|| play_on("advised"));
+static WITH_ADVICE: LazyLock<Seen> = LazyLock::new(|| play_on("advised", ADVISED_TASKS));
 /// A run in which they need none.
-static WITHOUT_ADVICE: LazyLock<Seen> = LazyLock::new(|| play_on("orders"));
+static WITHOUT_ADVICE: LazyLock<Seen> = LazyLock::new(|| play_on("orders", UNADVISED_TASKS));
 
 fn assert_run_again_in_time(seen: &Seen) {
     let mut gaps = seen.gaps.clone();
     gaps.sort_by_key(|gap| std::cmp::Reverse(gap.lasted_ms));
     println!("{} leaders, {} gaps, longest {:?}", seen.leaders, gaps.len(), gaps.first());
     assert!(seen.leaders >= 20, "only {} leaders", seen.leaders);
-    assert!(gaps.len() >= LASTING_TASKS as usize, "only {} runs were replaced", gaps.len());
+    assert!(gaps.len() >= seen.lasting_tasks, "only {} runs were replaced", gaps.len());
     let long: Vec<&Gap> = gaps.iter().filter(|gap| gap.lasted_ms > MAX_GAP_MS).collect();
     assert!(long.is_empty(), "{} of {} too long: {long:?}", long.len(), gaps.len());
-    assert_eq!(seen.lasting_runs, LASTING_TASKS as usize, "all run in the end");
+    assert_eq!(seen.lasting_runs, seen.lasting_tasks, "all run in the end");
 }
 
 /// Guards against tasks that nobody runs: each leader waited anew for workers that had left, and asked the
--- a/components/cluster/tests/support/fleet.rs
+++ b/components/cluster/tests/support/fleet.rs
@@ -50,6 +50,8 @@
 #[derive(Debug)]
 struct FleetWorker {
     report: WorkerReport,
+    /// When it leaves, once that is announced.
+    leaves_ms: Option<Millis>,
     listed: bool,
     /// Calls arrive. It has left otherwise, or hangs.
     answers: bool,
@@ -62,6 +64,12 @@
 }
 
 impl FleetWorker {
+    /// Its entry in the list.
+    fn entry(&self, now: Millis) -> WorkerReport {
+        let leaves_in_ms = self.leaves_ms.map(|leaves_ms| leaves_ms.since(now));
+        WorkerReport { leaves_in_ms, ..self.report.clone() }
+    }
+
     fn end_run(&mut self, task: &TaskKey, ending: Ending) -> bool {
         let Some(run) = self.runs.remove(task) else { return false };
         self.next_end += 1;
@@ -151,6 +159,7 @@
         };
         let worker = FleetWorker {
             report: report.clone(),
+            leaves_ms: None,
             listed: true,
             answers: true,
             runs: BTreeMap::new(),
@@ -170,8 +179,8 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).expect("a worker");
         worker.report.draining = true;
-        worker.report.leaves_in_ms = Some(leaves_in_ms);
-        let report = Box::new(worker.report.clone());
+        worker.leaves_ms = Some(clock::now() + leaves_in_ms);
+        let report = Box::new(worker.entry(clock::now()));
         self.changes.borrow_mut().push(WorkerChange::Listed(report));
     }
 
@@ -371,7 +380,7 @@
             sleep(STORE_CALL_MS).await;
             let workers = self.fleet.workers.borrow();
             let listed = workers.values().filter(|worker| worker.listed);
-            let reports = listed.map(|worker| worker.report.clone()).collect();
+            let reports = listed.map(|worker| worker.entry(clock::now())).collect();
             Ok((reports, self.fleet.changes.borrow().len() as u64))
         })
     }
