Overdue jobs get their turns although leaders change

Callers saw overdue jobs wait for as long as there was more urgent work and leaders handed over each second. A step gets a turn before others after 5 s without a start, and each leader counted these from its election, so that no term was long enough.

A step that is ready when a leader learns of it now counts as waiting since its job was due. What it has had from former leaders is not stored, so that it may have its turn sooner; turns still get a tenth of what starts, and one start a term more, since the credit begins anew. Of such steps each leader draws anew which one is next, weighted by the time that they have waited: one that cannot start would otherwise have the turn of each leader.

--- a/components/cell/src/aging.rs
+++ b/components/cell/src/aging.rs
@@ -5,8 +5,11 @@
 //! tenth of the resources that are started goes to the steps that have waited longest, one at a
 //! time for each service. While such a step finds no room, the worker with most room of those that
 //! it may use takes no other work; for a gang, one worker for each member.
+//!
+//! Leaders may change more often than a step gets a turn, so that what it has waited before counts, too.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use eventlog::event;
 use libs::compact_str::CompactString;
@@ -92,16 +95,18 @@
             return;
         }
         self.turns.chosen_ms = now;
-        let mut longest: BTreeMap<&CompactString, (Millis, &StepKey)> = BTreeMap::new();
+        let mut longest: BTreeMap<&CompactString, (f64, Millis, &StepKey)> = BTreeMap::new();
         for candidate in candidates {
-            let waited_ms = now.since(candidate.waiting_since_ms);
+            let (waited_ms, before_ms) = candidate.waited_ms;
             let waits_by_choice = candidate.rank.outlook == Outlook::Deferrable;
             if waited_ms < MAX_WAIT_MS || waits_by_choice || !self.is_within_limit(candidate) {
                 continue;
             }
-            let entry = longest.entry(&candidate.service).or_insert((waited_ms, &candidate.key));
-            if waited_ms > entry.0 {
-                *entry = (waited_ms, &candidate.key);
+            let weight = self.turn_weight(&candidate.key, waited_ms, before_ms);
+            let entry = (weight, waited_ms, &candidate.key);
+            let best = longest.entry(&candidate.service).or_insert(entry);
+            if weight > best.0 {
+                *best = entry;
             }
         }
         let mut ended = Vec::new();
@@ -123,7 +128,7 @@
                 ended.push(key);
             }
         }
-        for (service, (waited_ms, key)) in longest {
+        for (service, (_, waited_ms, key)) in longest {
             let turn = self.turns.by_service.entry(service.clone()).or_default();
             if turn.step.is_none() && !ended.contains(key) {
                 event!("step.turn", "step" => key.to_string(), "waited_ms" => waited_ms.0);
@@ -137,6 +142,18 @@
         }
     }
 
+    /// Weight of a step in the choice of the next turn: the time that it has waited, of which a part that each
+    /// leader draws anew counts if former leaders saw it wait. A step that cannot start in its turn would
+    /// otherwise have that of each leader.
+    fn turn_weight(&self, key: &StepKey, waited_ms: Millis, before_ms: Millis) -> f64 {
+        if before_ms == Millis(0) {
+            return waited_ms.0 as f64;
+        }
+        let mut hasher = DefaultHasher::new();
+        (self.epoch, key).hash(&mut hasher);
+        waited_ms.0 as f64 * (hasher.finish() as f64 / u64::MAX as f64)
+    }
+
     /// Whether the limit of its team allows a task of a step.
     fn is_within_limit(&self, candidate: &Candidate) -> bool {
         spec_of(&self.jobs, &candidate.key)
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -262,6 +262,7 @@
             job.restore(progress);
             self.inherits_announcements |= progress.announces_starts();
         }
+        job.mark_ready_steps();
         if job.ended.is_none() {
             self.open_jobs.insert(id.clone());
         }
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -57,6 +57,10 @@
     pub(crate) advice: StepAdvice,
     /// Time at which the earlier steps were done.
     pub(crate) ready_ms: Option<Millis>,
+    /// The earlier steps were done when this leader learned of it.
+    was_ready: bool,
+    /// Longest time that it may have waited before this leader found it ready.
+    pub(crate) waited_before_ms: Millis,
     /// Time of the last start of a task.
     pub(crate) last_start_ms: Millis,
     /// Time since which the tasks that have never started have been seen to wait.
@@ -84,9 +88,24 @@
         self.done as usize == self.tasks.len()
     }
 
-    /// Time since which its waiting tasks have had neither a start nor a turn.
-    pub(crate) fn waiting_since_ms(&self) -> Millis {
-        self.ready_ms.unwrap_or_default().max(self.last_start_ms).max(self.turn_ended_ms)
+    /// Records that it is ready; the job was due `age_ms` ago. What it has had from former leaders is not known,
+    /// so that it counts as waiting since then, unless it became ready only now.
+    pub(crate) fn set_ready(&mut self, age_ms: Millis, now: Millis) {
+        if self.ready_ms.is_none() {
+            self.ready_ms = Some(now);
+            self.waited_before_ms = if self.was_ready { age_ms } else { Millis(0) };
+        }
+    }
+
+    /// Time for which its waiting tasks have had neither a start nor a turn, and the part of it before this
+    /// leader's term.
+    pub(crate) fn waited_ms(&self, now: Millis) -> (Millis, Millis) {
+        let served_ms = self.last_start_ms.max(self.turn_ended_ms);
+        let ready_ms = self.ready_ms.unwrap_or_default();
+        if served_ms > ready_ms {
+            return (now.since(served_ms), Millis(0));
+        }
+        (now.since(ready_ms) + self.waited_before_ms, self.waited_before_ms)
     }
 
     /// Moves a task to another phase and updates the counts.
@@ -400,6 +419,17 @@
             self.open_occurrences.clear();
         }
     }
+
+    /// Records which steps are ready when the job becomes known.
+    pub(crate) fn mark_ready_steps(&mut self) {
+        for occurrence in self.open_occurrences.values_mut() {
+            let done: Vec<bool> = occurrence.steps.iter().map(Step::is_done).collect();
+            for (step, spec) in occurrence.steps.iter_mut().zip(&self.record.spec.steps) {
+                let is_done = |earlier: &u16| done.get(usize::from(*earlier)) == Some(&true);
+                step.was_ready = spec.after.iter().all(is_done);
+            }
+        }
+    }
 }
 
 fn step_progress(step: &Step) -> StepProgress {
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -22,8 +22,8 @@
     pub(crate) key: StepKey,
     /// Service whose workers run it.
     pub(crate) service: CompactString,
-    /// Time since which it has had neither a start nor a turn.
-    pub(crate) waiting_since_ms: Millis,
+    /// Time for which it has had neither a start nor a turn, and the part of it before this leader's term.
+    pub(crate) waited_ms: (Millis, Millis),
     /// One of its tasks crashes the workers that start it.
     pub(crate) crashes_workers: bool,
 }
@@ -94,7 +94,8 @@
             let numbers: Vec<u32> = job.open_occurrences.keys().copied().collect();
             for number in numbers {
                 let due_unix_ms = job.due_by(number, unix_ms);
-                for ready in ready_steps(job, number, &self.held_tasks, now) {
+                let age_ms = unix_ms.since(due_unix_ms);
+                for ready in ready_steps(job, number, &self.held_tasks, age_ms, now) {
                     let path = job.path_from(number, ready.index, ready.left_ms);
                     let rank = rank(
                         queue,
@@ -109,7 +110,7 @@
                         rank,
                         key: StepKey { job: id.clone(), occurrence: number, step: ready.index },
                         service: queue.service.clone(),
-                        waiting_since_ms: ready.waiting_since_ms,
+                        waited_ms: ready.waited_ms,
                         crashes_workers: ready.crashes_workers,
                     });
                 }
@@ -329,11 +330,18 @@
     /// Work left on the critical path from this step.
     left_ms: Millis,
     long_running: bool,
-    waiting_since_ms: Millis,
+    waited_ms: (Millis, Millis),
     crashes_workers: bool,
 }
 
-fn ready_steps(job: &mut Job, number: u32, held: &HeldTasks, now: Millis) -> Vec<ReadyStep> {
+/// Steps with tasks to start of an occurrence that was due `age_ms` ago.
+fn ready_steps(
+    job: &mut Job,
+    number: u32,
+    held: &HeldTasks,
+    age_ms: Millis,
+    now: Millis,
+) -> Vec<ReadyStep> {
     let record = job.record.clone();
     let holds_started = held.all && job.inherited;
     let Some(occurrence) = job.open_occurrences.get_mut(&number) else { return Vec::new() };
@@ -356,13 +364,13 @@
         if !earlier_done || step.waiting == 0 || (holds_started && !step.never_started) {
             continue;
         }
-        step.ready_ms.get_or_insert(now);
+        step.set_ready(age_ms, now);
         let Ok(number) = u16::try_from(index) else { continue };
         ready.push(ReadyStep {
             index: number,
             left_ms: job.left_from_ms.get(index).copied().unwrap_or_default(),
             long_running: spec.long_running,
-            waiting_since_ms: step.waiting_since_ms(),
+            waited_ms: step.waited_ms(now),
             crashes_workers: step.has_crashing_task(),
         });
     }
