How long a run has lasted is known across terms

While leaders hand over each second, callers saw a job that was sound shown as failed after three restarts of its worker, and lost tasks of lasting jobs idle for as long as another one of their step ran.

What a run has lasted counted from its adoption by each leader. A run that was lost within 0.5 s of an election counted as one that crashes its workers by its start; and none lasted the 10 s that withdraw losses, for which other lost tasks of the step wait.

The last 32 elections are stored, once a term with the roster. The number of an attempt tells the epoch of its leader, so a run has lasted at least since the next known election. This decides only which losses count against a task, not whether a run has ended.

Both tests in short_terms_elsewhere.rs failed before, and pass; the fault schedules restore the record, too.

--- a/components/cell/src/advice_records.rs
+++ b/components/cell/src/advice_records.rs
@@ -186,7 +186,7 @@
                 {
                     if !step.is_done() && step.advice.has_answers() {
                         let key = StepKey { job: id.clone(), occurrence: *occurrence, step: index };
-                        let since_ms = step.waiting_since_ms();
+                        let since_ms = step.ready_ms.unwrap_or_default().max(step.last_start_ms);
                         found.push((rank(step, spec), since_ms, key, &step.advice));
                     }
                 }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::recovery::HeldTasks;
 use crate::room::Rooms;
 use crate::round::{Round, WorkCounts};
+use crate::terms::TermStart;
 use crate::waiting::WaitingSteps;
 use crate::waits::Waits;
 use crate::worker::Worker;
@@ -104,6 +105,8 @@
     pub(crate) start_retries: RetryBudget,
     /// Which starts may be ordered. Leases are renewed while it allows any.
     pub(crate) start_permission: StartPermission,
+    /// The latest elections with this one, oldest first; empty while those of former leaders are not known.
+    pub(crate) term_starts: Vec<TermStart>,
     /// A former leader has announced starts of suspects.
     pub(crate) inherits_announcements: bool,
     /// Requests to evacuate failure domains.
@@ -164,6 +167,7 @@
             urgent_demand: Resources::ZERO,
             start_retries: RetryBudget::default(),
             start_permission: StartPermission::AllJobs,
+            term_starts: Vec::new(),
             inherits_announcements: false,
             evacuations: Evacuations::default(),
             evacuation_logged_ms: Millis(0),
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -43,6 +43,7 @@
 mod speeds;
 mod tasks;
 mod team_limit;
+mod terms;
 mod waiting;
 mod waits;
 mod worker;
@@ -72,6 +73,7 @@
 };
 pub use runs::START_DEADLINE_MS;
 pub use speeds::SpeedCounts;
+pub use terms::TermStart;
 pub use waiting::WaitingSteps;
 pub use waits::{HoldingWorker, WaitCounts, WaitReason, WaitingTasks};
 pub use worker::WorkerReport;
--- a/components/cell/src/losses.rs
+++ b/components/cell/src/losses.rs
@@ -339,7 +339,7 @@
 fn known_run_time(worker: &Worker, run: &Run) -> Millis {
     let began_ms =
         if run.state == RunState::Running { run.state_changed_ms } else { run.started_ms };
-    worker.last_answer_ms.since(began_ms)
+    worker.last_answer_ms.since(began_ms) + run.ran_before_ms
 }
 
 /// What the loss of a run says of its task. `noticed_ms` is when the worker was found silent, if it
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -226,6 +226,7 @@
     fn adopt_run(&mut self, id: &WorkerId, active: &ActiveRun, now: Millis) {
         let key = &active.task;
         let unknown = self.unknown_spec(id);
+        let ran_before_ms = self.ran_before_ms(active.attempt, now);
         let job = self.jobs.get_mut(&key.step.job);
         let team = job.as_ref().and_then(|job| job.record.team.clone());
         let spec = job
@@ -257,6 +258,7 @@
         self.withdraw_loss(key, active.attempt);
         let mut run = new_run(&spec, team, active.attempt, RunState::Running, now);
         run.adopted = true;
+        run.ran_before_ms = ran_before_ms;
         run.first_shown = Some((active.percent, now));
         run.percent = active.percent;
         run.from_start = false;
--- a/components/cell/src/runs.rs
+++ b/components/cell/src/runs.rs
@@ -292,6 +292,11 @@
         let first = u32::try_from(epoch.saturating_sub(1)).unwrap_or(0) * ATTEMPTS_PER_EPOCH + 1;
         first.max(last + 1)
     }
+
+    /// Epoch of the leader that has started an attempt, or a later one.
+    pub(crate) fn epoch_of(attempt: u32) -> u64 {
+        u64::from(attempt.saturating_sub(1) / ATTEMPTS_PER_EPOCH) + 1
+    }
 }
 
 /// Longest time that a worker without runs that end may hold a poll. A lease lasts more than twice as
@@ -341,6 +346,7 @@
         state_changed_ms: now,
         started_ms: now,
         adopted: false,
+        ran_before_ms: Millis(0),
         first_shown: None,
         stop_sent_ms: Millis(0),
         percent: 0,
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -103,6 +103,8 @@
     pub(crate) started_ms: Millis,
     /// It ran before this leader knew it.
     pub(crate) adopted: bool,
+    /// Time that it had lasted at least when this leader adopted it.
+    pub(crate) ran_before_ms: Millis,
     /// First progress that a poll showed, and when.
     pub(crate) first_shown: Option<(u32, Millis)>,
     /// Time of the last stop order.
--- a/components/cell/tests/short_terms_elsewhere.rs
+++ b/components/cell/tests/short_terms_elsewhere.rs
@@ -8,7 +8,7 @@
 use cell::{
     Action, ActiveRun, Cell, CellSettings, EndedRun, Ending, FinalState, JobRecord, JobStatus,
     LossKind, LostRun, PollAnswer, Progress, RosterRow, StartAnswer, StepProgress, StepSpec,
-    TaskKey, TaskLosses, WorkerAccount, WorkerReport,
+    TaskKey, TaskLosses, TermStart, WorkerAccount, WorkerReport,
 };
 use simulation::{job, policy, report, task};
 use types::{JobId, Millis, Resources, WorkerId};
@@ -124,6 +124,7 @@
     progress: BTreeMap<JobId, Progress>,
     roster: Vec<RosterRow>,
     accounts: Vec<WorkerAccount>,
+    term_starts: Vec<TermStart>,
     workers: BTreeMap<WorkerId, Worker>,
     /// All starts, in their order.
     started: Vec<TaskKey>,
@@ -158,6 +159,7 @@
             progress: BTreeMap::new(),
             roster: Vec::new(),
             accounts: Vec::new(),
+            term_starts: Vec::new(),
             workers: workers.collect(),
             started: Vec::new(),
         }
@@ -167,6 +169,8 @@
         self.epoch += 1;
         self.elected_ms = self.now;
         let mut cell = new_cell(self.epoch, UNIX_START_MS);
+        cell.restore_term_starts(&self.term_starts, self.now);
+        self.term_starts = cell.term_starts().to_vec();
         for record in &self.jobs {
             cell.restore(record.clone(), self.progress.get(&record.id), self.now);
         }
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -15,7 +15,7 @@
     Action, AdvicePolicy, AdviceRecords, Batch, Cell, CellSettings, EvacuationChange,
     EvacuationRequest, ForecastOutcome, JobRecord, Policy, PollAnswer, PollOrder, Progress,
     RosterRow, RunTimesSummary, StartAnswer, StartOrder, StartPermission, StepKey, StopOrder,
-    TaskKey, WorkerAccount,
+    TaskKey, TermStart, WorkerAccount,
 };
 use libs::compact_str::CompactString;
 use libs::rand::rngs::StdRng;
@@ -241,6 +241,7 @@
     stored_roster: Vec<RosterRow>,
     stored_accounts: Vec<WorkerAccount>,
     stored_advice: AdviceRecords,
+    stored_term_starts: Vec<TermStart>,
     next_epoch: u64,
     stored_jobs: BTreeMap<JobId, JobRecord>,
     stored_progress: BTreeMap<JobId, Progress>,
@@ -306,6 +307,7 @@
             stored_roster: Vec::new(),
             stored_accounts: Vec::new(),
             stored_advice: AdviceRecords::default(),
+            stored_term_starts: Vec::new(),
             next_epoch: 1,
             stored_jobs: BTreeMap::new(),
             stored_progress: BTreeMap::new(),
@@ -635,6 +637,10 @@
         let mut cell = Cell::new(settings, epoch, UNIX_START_MS);
         cell.set_policy(self.policy.clone());
         cell.set_callers(&self.machines);
+        cell.restore_term_starts(&self.stored_term_starts, self.now);
+        if !self.store_is_down() {
+            self.stored_term_starts = cell.term_starts().to_vec();
+        }
         for record in self.stored_jobs.values() {
             cell.restore(record.clone(), self.stored_progress.get(&record.id), self.now);
         }
--- a/components/cluster/src/keys.rs
+++ b/components/cluster/src/keys.rs
@@ -15,6 +15,8 @@
 pub(crate) const ACCOUNTS: &str = "accounts";
 /// Answers of the advisor, for the next leader. Written with the roster.
 pub(crate) const ADVICE: &str = "advice";
+/// When the latest leaders were elected, for the next leader. Written once a term, with the roster.
+pub(crate) const TERM_STARTS: &str = "term_starts";
 /// What was learned of run times, for the next leader.
 pub(crate) const RUN_TIMES: &str = "run_times";
 /// Shared secret that authenticates peers to each other.
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -5,7 +5,9 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
-use cell::{Cell, JobRecord, Progress, RetryBudget, RosterRow, StartPermission, WorkerAccount};
+use cell::{
+    Cell, JobRecord, Progress, RetryBudget, RosterRow, StartPermission, TermStart, WorkerAccount,
+};
 use clock::CancellationToken;
 use eventlog::event;
 use job_memory::Grants;
@@ -93,6 +95,8 @@
     pub(crate) roster_revision: StdCell<Option<u64>>,
     /// What is stored of the advisor's answers.
     pub(crate) stored_advice: StoredAdvice,
+    /// The election of this leader is stored.
+    pub(crate) term_start_is_stored: StdCell<bool>,
     /// Limits hedged polls.
     pub(crate) hedge_budget: RefCell<RetryBudget>,
     /// Workers with a running polling loop.
@@ -148,6 +152,7 @@
             batch_revision: StdCell::new(0),
             roster_revision: StdCell::new(None),
             stored_advice: StoredAdvice::default(),
+            term_start_is_stored: StdCell::default(),
             hedge_budget: RefCell::default(),
             polled_workers: RefCell::default(),
             ends_stored: RefCell::default(),
@@ -337,13 +342,14 @@
     async fn load(&self, leader: &Leader) -> Result<(), StoreError> {
         let store = &self.ports.store;
         let sent_ms = clock::now();
-        let (intake, progress, batch, roster, accounts, advice, workers, evacuations) = tokio::join!(
+        let (intake, progress, batch, roster, accounts, advice, term_starts, workers, evacuations) = tokio::join!(
             store.range(keys::INTAKE),
             store.range(keys::PROGRESS),
             store.get(keys::BATCH),
             store.get(keys::ROSTER),
             store.get(keys::ACCOUNTS),
             store.get(keys::ADVICE),
+            store.get(keys::TERM_STARTS),
             self.ports.directory.list(),
             self.list_evacuations(),
         );
@@ -353,6 +359,7 @@
         let roster = self.store_result(roster)?;
         let accounts = self.store_result(accounts)?;
         let advice = self.store_result(advice)?;
+        let term_starts = self.store_result(term_starts)?;
         let (workers, workers_after) = self.store_result(workers)?;
         let (evacuations, evacuations_after) = self.store_result(evacuations)?;
         let now = clock::now();
@@ -389,6 +396,8 @@
             cell.restore_account(&account);
         }
         leader.restore_advice(&mut cell, advice.as_ref(), now);
+        let term_starts = term_starts.as_ref().and_then(read::<Vec<TermStart>>);
+        cell.restore_term_starts(&term_starts.unwrap_or_default(), now);
         cell.evacuations_listed(evacuations, now);
         leader.evacuations_after.set(evacuations_after);
         leader.evacuations_read_ms.set(sent_ms);
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -227,22 +227,27 @@
                 return false;
             }
         };
-        let mut transaction = Transaction {
+        let mut puts =
+            vec![(keys::ROSTER.to_owned(), roster, 0), (keys::ACCOUNTS.to_owned(), accounts, 0)];
+        if !leader.term_start_is_stored.get()
+            && let Ok(term_starts) = encode(&leader.cell.borrow().term_starts())
+        {
+            puts.push((keys::TERM_STARTS.to_owned(), term_starts, 0));
+        }
+        puts.extend(advice.as_ref().map(AdviceToStore::put));
+        let transaction = Transaction {
             expected: vec![
                 (keys::LEADER.to_owned(), leader.revision),
                 (keys::ROSTER.to_owned(), revision),
             ],
-            puts: vec![
-                (keys::ROSTER.to_owned(), roster, 0),
-                (keys::ACCOUNTS.to_owned(), accounts, 0),
-            ],
+            puts,
             removes: Vec::new(),
         };
-        transaction.puts.extend(advice.as_ref().map(AdviceToStore::put));
         let stored = self.store_result(self.ports.store.commit(&transaction).await);
         leader.advice_written(advice, matches!(stored, Ok(Commit::Done(_))));
         let Ok(Commit::Done(revision)) = stored else { return false };
         leader.roster_revision.set(Some(revision));
+        leader.term_start_is_stored.set(true);
         true
     }
 
