--- a/components/cell/tests/simulation/checks.rs
+++ b/components/cell/tests/simulation/checks.rs
@@ -264,6 +264,18 @@
         })
     }
 
+    /// Whether a task is done.
+    pub fn is_task_done(&self, key: &TaskKey) -> bool {
+        self.tasks.get(key).is_some_and(|seen| seen.done)
+    }
+
+    /// Whether a task of a job has failed as often as its queue allows.
+    pub fn has_used_up_attempts(&self, id: &JobId) -> bool {
+        let Some(record) = self.jobs.get(id) else { return false };
+        let most = record.policy.max_attempts as usize;
+        self.tasks.iter().any(|(key, seen)| key.step.job == *id && seen.failed.len() >= most)
+    }
+
     /// Number of tasks of a job that are done.
     pub fn done_tasks(&self, id: &JobId) -> usize {
         self.tasks.iter().filter(|(key, seen)| key.step.job == *id && seen.done).count()
