Runs of cancelled jobs on unseen workers use up the limit of their team

What callers saw: nothing yet; a fault schedule did. A team had more running than its limit allows (rule QUOTA) after a hand-over.

Cause: a roster names the tasks that may run on a worker that the new leader has not seen. Of these, tasks of a job that was cancelled meanwhile were not charged to their team, although they run until the worker is told.

Why it works: a named task is charged unless it is known to be done or placed elsewhere.

--- a/components/cell/src/recovery.rs
+++ b/components/cell/src/recovery.rs
@@ -142,8 +142,9 @@
         }
         for key in held.tasks.clone() {
             let Some(job) = self.jobs.get(&key.step.job) else { continue };
-            let waits = job.task(&key).is_some_and(|task| task.phase == Phase::Waiting);
-            if let Some(spec) = job.record.step(&key).filter(|_| waits) {
+            // Those of a cancelled job run until their worker is told.
+            let may_run = job.task(&key).is_none_or(|task| task.phase == Phase::Waiting);
+            if let Some(spec) = job.record.step(&key).filter(|_| may_run) {
                 held.add_usage(job.record.team.as_ref(), &spec.need);
             }
         }
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -69,6 +69,11 @@
 }
 
 fn first_term_with_lease(lease_ms: Millis) -> FirstTerm {
+    first_term_with_jobs("large", 12, lease_ms)
+}
+
+/// Each worker runs a task of the team with that many cores.
+fn first_term_with_jobs(team: &str, cores: u64, lease_ms: Millis) -> FirstTerm {
     let mut cell = cell(1, lease_ms);
     for name in ["w0", "w1"] {
         cell.worker_listed(report(name), Millis(1));
@@ -76,7 +81,7 @@
         cell.poll_answered(&id, Millis(1), &answer(Vec::new()), Millis(2));
     }
     let jobs: Vec<JobRecord> =
-        ["00000000000000a1", "00000000000000a2"].map(|id| one_task_job(id, "large", 12)).into();
+        ["00000000000000a1", "00000000000000a2"].map(|id| one_task_job(id, team, cores)).into();
     for record in &jobs {
         cell.add_job(record.clone(), Millis(10));
     }
@@ -139,6 +144,22 @@
     assert_eq!(orders.len(), 2, "four cores are free: {:?}", jobs_of(&orders));
 }
 
+/// A run of a cancelled job on a worker that the next leader has not seen used none of the limit of its
+/// team, so that the team could start more than it may have running.
+#[test]
+fn runs_of_cancelled_jobs_on_unseen_workers_use_up_the_limit_of_their_team() {
+    let mut first = first_term_with_jobs("small", 10, Millis(4_500));
+    let silent = first.runs[0].2.clone();
+    first.cell.poll_failed(&silent, Millis(500));
+    let roster = first.cell.roster(Millis(3_000));
+    let mut next = first.next(&roster, Vec::new());
+    next.cancel_job(&first.jobs[0].id, Millis(0), ELECTED_MS);
+    // The limit of the team is 24 cores.
+    next.add_job(one_task_job("00000000000000c1", "small", 6), ELECTED_MS);
+    let orders = starts(&mut next, ELECTED_MS + Millis(10));
+    assert!(orders.is_empty(), "the cancelled job may still run: {:?}", jobs_of(&orders));
+}
+
 /// A worker that drains is emptied before it leaves. Its lease was waited for after it had left.
 #[test]
 fn a_worker_that_was_emptied_and_left_holds_nothing_back() {
