The next leader uses tickets that are still valid

In each of nine terms the advisor allowed two to five of six workers, and the leader stopped within milliseconds of the answer; the next one asked for new tickets.

Cause: answers were handed on, but tickets were not, although they hold for the worker and not for the leader.

Change: the record has the text and the expiry of valid tickets, in Unix milliseconds. The next leader takes them for valid for as long, and for no longer than the queue says, since clocks of machines differ; a worker rejects one that has expired, which costs one call. The bound on the record is unchanged.

Evidence: the_next_leader_uses_tickets_that_are_valid failed before, with a call instead of a start. The test on allowed workers is played after the tickets have expired, and the damaged record has the new form.

--- a/components/cell/src/advice.rs
+++ b/components/cell/src/advice.rs
@@ -105,9 +105,9 @@
         !self.tickets.is_empty() || !self.denied.is_empty()
     }
 
-    /// Allowed workers with the incarnations that were asked about.
-    pub(crate) fn allowed_incarnations(&self) -> impl Iterator<Item = (&WorkerId, u64)> {
-        self.tickets.iter().map(|(id, ticket)| (id, ticket.incarnation_unix_ms))
+    /// Allowed workers with their tickets, also those that have expired.
+    pub(crate) fn tickets(&self) -> impl Iterator<Item = (&WorkerId, &Ticket)> {
+        self.tickets.iter()
     }
 
     /// Denied workers with the incarnations that were asked about.
@@ -120,19 +120,14 @@
         self.empty_answers
     }
 
-    /// Restores the answers to a former leader. The tickets have expired.
+    /// Restores the answers to a former leader.
     pub(crate) fn restore(
         &mut self,
-        allowed: Vec<(WorkerId, u64)>,
+        tickets: BTreeMap<WorkerId, Ticket>,
         denied: Vec<(WorkerId, u64)>,
         empty_answers: u32,
     ) {
-        let expired = |incarnation_unix_ms| Ticket {
-            text: CompactString::default(),
-            expires_ms: Millis(0),
-            incarnation_unix_ms,
-        };
-        self.tickets = allowed.into_iter().map(|(id, started)| (id, expired(started))).collect();
+        self.tickets = tickets;
         self.denied = denied.into_iter().collect();
         self.empty_answers = empty_answers.min(MAX_DOUBLINGS);
     }
--- a/components/cell/src/advice_records.rs
+++ b/components/cell/src/advice_records.rs
@@ -7,10 +7,11 @@
 use std::collections::BTreeMap;
 
 use eventlog::event;
+use libs::compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use types::{Millis, QueueId, WorkerId};
 
-use crate::advice::StepAdvice;
+use crate::advice::{StepAdvice, Ticket};
 use crate::cell::Cell;
 use crate::job::Step;
 use crate::model::{StepKey, StepSpec};
@@ -37,12 +38,23 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct StepRecord {
     step: StepKey,
+    /// Allowed workers whose tickets have expired.
     allowed: Vec<u32>,
+    /// Allowed workers with their tickets.
+    tickets: Vec<TicketRecord>,
     denied: Vec<u32>,
     /// Consecutive answers that allowed none of the workers named.
     empty_answers: u32,
 }
 
+/// A ticket for a worker, which is an index into those of the record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct TicketRecord {
+    worker: u32,
+    text: CompactString,
+    expires_unix_ms: u64,
+}
+
 impl AdviceRecords {
     /// Whether it holds no answer.
     pub fn is_empty(&self) -> bool {
@@ -56,7 +68,12 @@
 
     /// Number of workers that are allowed, summed over the steps.
     pub fn allowed(&self) -> usize {
-        self.steps.iter().map(|step| step.allowed.len()).sum()
+        self.steps.iter().map(|step| step.allowed.len() + step.tickets.len()).sum()
+    }
+
+    /// Number of tickets.
+    pub fn tickets(&self) -> usize {
+        self.steps.iter().map(|step| step.tickets.len()).sum()
     }
 
     /// Number of workers that are denied, summed over the steps.
@@ -118,6 +135,19 @@
         Some(index)
     }
 
+    /// Index of a worker with its ticket, if there is room for both.
+    fn ticket(
+        &mut self,
+        id: &'a WorkerId,
+        ticket: &Ticket,
+        expires_unix_ms: u64,
+    ) -> Option<TicketRecord> {
+        let worker = self.index(id, ticket.incarnation_unix_ms)?;
+        let bytes = text_bytes(&ticket.text) + number_bytes(expires_unix_ms);
+        let text = ticket.text.clone();
+        self.takes(bytes).then_some(TicketRecord { worker, text, expires_unix_ms })
+    }
+
     /// Adds the answers on a step. The allowed workers come first, since they are certain to get a
     /// ticket again.
     fn add_step(
@@ -125,33 +155,61 @@
         step: StepKey,
         advice: &'a StepAdvice,
         is_current: impl Fn(&WorkerId, u64) -> bool,
+        clock: &UnixClock,
     ) {
         let bytes = text_bytes(step.job.as_str())
             + number_bytes(u64::from(step.occurrence))
             + number_bytes(u64::from(step.step))
             + number_bytes(u64::from(advice.empty_answers()))
-            + 2 * LENGTH_BYTES;
+            + 3 * LENGTH_BYTES;
         if !self.takes(bytes) {
             return;
         }
-        let allowed =
-            advice.allowed_incarnations().map(|(id, incarnation)| (id, incarnation, true));
-        let denied = advice.denied_incarnations().map(|(id, incarnation)| (id, incarnation, false));
-        let answers = allowed
-            .chain(denied)
-            .filter(|(id, incarnation, _)| is_current(id, *incarnation))
-            .take(MAX_STEP_WORKERS);
-        let (mut allowed, mut denied) = (Vec::new(), Vec::new());
-        for (id, incarnation_unix_ms, is_allowed) in answers {
+        let (mut allowed, mut tickets, mut denied) = (Vec::new(), Vec::new(), Vec::new());
+        let known_tickets =
+            advice.tickets().filter(|(id, ticket)| is_current(id, ticket.incarnation_unix_ms));
+        for (id, ticket) in known_tickets.take(MAX_STEP_WORKERS) {
+            if ticket.expires_ms > clock.now {
+                let Some(record) = self.ticket(id, ticket, clock.unix_ms_at(ticket.expires_ms))
+                else {
+                    break;
+                };
+                tickets.push(record);
+            } else {
+                let Some(index) = self.index(id, ticket.incarnation_unix_ms) else { break };
+                allowed.push(index);
+            }
+        }
+        let room = MAX_STEP_WORKERS - allowed.len() - tickets.len();
+        let known_denied =
+            advice.denied_incarnations().filter(|(id, incarnation)| is_current(id, *incarnation));
+        for (id, incarnation_unix_ms) in known_denied.take(room) {
             let Some(index) = self.index(id, incarnation_unix_ms) else { break };
-            if is_allowed { allowed.push(index) } else { denied.push(index) }
+            denied.push(index);
         }
-        if allowed.is_empty() && denied.is_empty() {
+        if allowed.is_empty() && tickets.is_empty() && denied.is_empty() {
             self.bytes -= bytes;
             return;
         }
         let empty_answers = advice.empty_answers();
-        self.records.steps.push(StepRecord { step, allowed, denied, empty_answers });
+        self.records.steps.push(StepRecord { step, allowed, tickets, denied, empty_answers });
+    }
+}
+
+/// Converts times of the process clock, which the next leader does not know.
+struct UnixClock {
+    now: Millis,
+    unix_ms: u64,
+}
+
+impl UnixClock {
+    fn unix_ms_at(&self, later_ms: Millis) -> u64 {
+        self.unix_ms + later_ms.since(self.now).0
+    }
+
+    /// Time until a Unix time, at most `most_ms`: clocks of machines differ.
+    fn until(&self, unix_ms: u64, most_ms: Millis) -> Millis {
+        Millis(unix_ms.saturating_sub(self.unix_ms)).min(most_ms)
     }
 }
 
@@ -178,7 +236,8 @@
     /// Answers of the advisor to be stored for the next leader: those on steps of open jobs, as far as
     /// the workers are still known, up to [`MAX_ADVICE_BYTES`]. Of steps with the same rank, the one
     /// that has waited longest comes first.
-    pub fn advice_records(&self) -> AdviceRecords {
+    pub fn advice_records(&self, now: Millis) -> AdviceRecords {
+        let clock = UnixClock { now, unix_ms: self.unix_ms(now) };
         let mut found: Vec<(u8, Millis, StepKey, &StepAdvice)> = Vec::new();
         for (id, job) in self.open_jobs.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
             for (occurrence, state) in &job.open_occurrences {
@@ -204,44 +263,58 @@
             collector.add_rate(queue, rate);
         }
         for (_, _, key, advice) in found {
-            collector.add_step(key, advice, is_current);
+            collector.add_step(key, advice, is_current, &clock);
         }
         collector.records
     }
 
     /// Applies what a former leader handed on. Jobs and workers must have been restored before.
     ///
-    /// Workers that were allowed are named first, since their tickets are not handed on. Those that
+    /// Tickets that are still valid are used. Other workers that were allowed are named first. Those that
     /// were denied are not named again while they are of the same incarnation.
     pub fn restore_advice(&mut self, records: &AdviceRecords, now: Millis) {
         if records.is_empty() {
             return;
         }
-        let unix_ms = self.unix_ms(now);
+        let clock = UnixClock { now, unix_ms: self.unix_ms(now) };
         let workers = &self.workers;
         let known = |indexes: &[u32]| -> Vec<(WorkerId, u64)> {
             let found = records.workers_at(indexes).filter(|(id, _)| workers.contains_key(id));
             found.cloned().collect()
         };
         let (mut steps, mut allowed_count, mut denied_count) = (0, 0, 0);
-        for StepRecord { step: key, allowed, denied, empty_answers } in &records.steps {
+        for StepRecord { step: key, allowed, tickets, denied, empty_answers } in &records.steps {
             let Some(job) = self.jobs.get_mut(&key.job) else { continue };
-            if job.due_unix_ms(key.occurrence) <= unix_ms {
+            if job.due_unix_ms(key.occurrence) <= clock.unix_ms {
                 // Nothing else is stored of an occurrence without progress.
                 job.open_up_to(key.occurrence);
             }
+            let advice = Cell::queue_policy(&self.policy, &job.record).advice;
+            let valid_ms = advice.map(|advice| advice.valid_ms).unwrap_or_default();
             let Some(step) = job.step_mut(key.occurrence, key.step) else { continue };
-            let (allowed, denied) = (known(allowed), known(denied));
+            let expired = |(id, incarnation_unix_ms)| {
+                let text = CompactString::default();
+                (id, Ticket { text, expires_ms: Millis(0), incarnation_unix_ms })
+            };
+            let valid = |record: &TicketRecord| {
+                let (id, incarnation_unix_ms) = known(&[record.worker]).pop()?;
+                let expires_ms = now + clock.until(record.expires_unix_ms, valid_ms);
+                Some((id, Ticket { text: record.text.clone(), expires_ms, incarnation_unix_ms }))
+            };
+            let expired = known(allowed).into_iter().map(expired);
+            let restored: BTreeMap<WorkerId, Ticket> =
+                expired.chain(tickets.iter().filter_map(valid)).collect();
+            let denied = known(denied);
             steps += 1;
-            allowed_count += allowed.len();
+            allowed_count += restored.len();
             denied_count += denied.len();
-            step.advice.restore(allowed, denied, *empty_answers);
+            step.advice.restore(restored, denied, *empty_answers);
         }
         for (queue, rate) in &records.allow_rates {
             self.allow_rates.restore(queue, *rate);
         }
         self.needs_scheduling = true;
         event!("advice.restored", "steps" => steps, "allowed" => allowed_count,
-            "denied" => denied_count, "of_steps" => records.steps.len(), "epoch" => self.epoch);
+            "tickets" => records.tickets(), "denied" => denied_count, "of_steps" => records.steps.len(), "epoch" => self.epoch);
     }
 }
--- a/components/cell/tests/handed_advice.rs
+++ b/components/cell/tests/handed_advice.rs
@@ -110,7 +110,7 @@
 
     /// Record to be stored for the next leader.
     fn stored_advice(&self) -> Vec<u8> {
-        postcard::to_allocvec(&self.cell.advice_records()).expect("encoded records")
+        postcard::to_allocvec(&self.cell.advice_records(self.now)).expect("encoded records")
     }
 
     /// The next call for advice within [`ASK_MS`].
@@ -227,8 +227,8 @@
     assert!(denied.is_disjoint(&call.ids()), "named again: {:?}", call.ids());
 }
 
-/// Guards against tasks that start on a ticket of the former leader, and against calls that look for
-/// other workers first.
+/// Guards against tasks that start on a ticket that has expired, and against calls that look for other
+/// workers first.
 #[test]
 fn the_next_leader_names_allowed_workers_first() {
     let record = lasting_job();
@@ -236,10 +236,30 @@
     // Those that the third call names.
     let allowed = &named_by(3) - &named_by(2);
     let (_, mut next) = hand_over(&record, 60, 3, &allowed, None);
+    next.now = next.now + ADVICE.valid_ms;
     let call = next.next_call().expect("a call of the next leader, without a start before it");
     assert!(call.ids().is_subset(&allowed), "others are named: {:?}", call.ids());
 }
 
+/// Guards against answers that come too late for the leader that has asked: with terms of a second and
+/// calls of half a second each leader asked for a ticket, and the next one could not use it.
+#[test]
+fn the_next_leader_uses_tickets_that_are_valid() {
+    let record = lasting_job();
+    let named_by = |calls| hand_over(&record, 60, calls, &BTreeSet::new(), None).0;
+    let allowed = &named_by(3) - &named_by(2);
+    let (_, mut next) = hand_over(&record, 60, 3, &allowed, None);
+    next.cell.tick(next.now);
+    next.cell.schedule(next.now);
+    let start = next.cell.take_actions().into_iter().find_map(|action| match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    let start = start.expect("a start without a call");
+    assert!(allowed.contains(&start.worker), "{:?} is not allowed", start.worker);
+    assert_eq!(start.ticket.as_deref(), Some("ticket"));
+}
+
 /// Guards against a worker that is never used again for a step, since its former incarnation, of another
 /// kind, was denied to a former leader.
 #[test]
@@ -261,7 +281,7 @@
     });
     let (denied, mut next) = hand_over(&record, 60, 6, &BTreeSet::new(), None);
     assert!(denied.len() > 6, "few workers are denied");
-    assert!(next.cell.advice_records().steps() > 1, "answers on one occurrence only");
+    assert!(next.cell.advice_records(next.now).steps() > 1, "answers on one occurrence only");
     assert!(next.next_call().is_some());
 }
 
@@ -270,16 +290,16 @@
 fn only_open_jobs_and_known_workers_are_in_the_record() {
     let record = lasting_job();
     let (_, next) = hand_over(&record, 60, 2, &BTreeSet::new(), None);
-    assert!(next.cell.advice_records().denied() > 6);
+    assert!(next.cell.advice_records(next.now).denied() > 6);
     // A leader that knows none of these workers.
     let mut other = next.successor(&record);
     other.restore_advice(&next.stored_advice());
-    assert_eq!(other.cell.advice_records().denied(), 0);
+    assert_eq!(other.cell.advice_records(other.now).denied(), 0);
     let mut ended = next.successor(&record);
     ended.add_workers(60);
     ended.cell.cancel_job(&record.id, Millis(0), ended.now);
     ended.restore_advice(&next.stored_advice());
-    assert_eq!(ended.cell.advice_records().steps(), 0);
+    assert_eq!(ended.cell.advice_records(ended.now).steps(), 0);
 }
 
 /// Most workers, steps and workers asked about for a step in the largest fleet.
@@ -314,7 +334,7 @@
         let answer = Some((allowed.as_slice(), ADVICE.valid_ms));
         leader.cell.advice_answered(number as u64, &step, &asked, answer, leader.now);
     }
-    let records = leader.cell.advice_records();
+    let records = leader.cell.advice_records(leader.now);
     let bytes = leader.stored_advice().len();
     assert!(bytes <= MAX_ADVICE_BYTES, "{bytes} bytes");
     assert!(bytes > MAX_ADVICE_BYTES * 9 / 10, "only {bytes} bytes are used");
@@ -330,10 +350,13 @@
     let step = |occurrence, step| StepKey { job: record.id.clone(), occurrence, step };
     let w1: WorkerId = "w1".parse().expect("worker id");
     let indexes = vec![0u32, 1, u32::MAX];
+    let tickets: Vec<_> =
+        indexes[1..].iter().map(|index| (*index, "ticket".to_owned(), u64::MAX)).collect();
+    let none = Vec::<(u32, String, u64)>::new();
     let steps = vec![
-        (step(0, 0), indexes.clone(), indexes.clone(), u32::MAX),
-        (step(u32::MAX, 0), indexes.clone(), Vec::new(), 0),
-        (step(0, 7), indexes.clone(), Vec::new(), 0),
+        (step(0, 0), indexes.clone(), tickets, indexes.clone(), u32::MAX),
+        (step(u32::MAX, 0), indexes.clone(), none.clone(), Vec::new(), 0),
+        (step(0, 7), indexes.clone(), none, Vec::new(), 0),
     ];
     let rates = vec![(record.queue.clone(), f64::NAN), (record.queue.clone(), -3.0)];
     let stored = postcard::to_allocvec(&(vec![(w1, INCARNATION)], steps, rates)).expect("record");
--- a/components/cell/tests/simulation/mod.rs
+++ b/components/cell/tests/simulation/mod.rs
@@ -996,7 +996,7 @@
             term.cell.roster_stored(&states.0);
             term.known_roster.clone_from(&states);
         }
-        self.stored_advice = term.cell.advice_records();
+        self.stored_advice = term.cell.advice_records(now);
         (self.stored_roster, self.stored_accounts) = states;
     }
 
@@ -1087,7 +1087,7 @@
         let Some(term) = self.terms.iter_mut().find(|term| !term.deposed) else { return };
         let states = (term.cell.last_roster(now), term.cell.accounts());
         if !lost {
-            self.stored_advice = term.cell.advice_records();
+            self.stored_advice = term.cell.advice_records(now);
             (self.stored_roster, self.stored_accounts) = states;
         }
         let gap_ms = self.rng.random_range(20..600);
--- a/components/cluster/src/handed_advice.rs
+++ b/components/cluster/src/handed_advice.rs
@@ -59,7 +59,7 @@
 
     /// Record to be stored if it has changed. Nothing is written where no step needs advice.
     pub(crate) fn changed_advice(&self) -> Option<AdviceToStore> {
-        let records = self.cell.borrow().advice_records();
+        let records = self.cell.borrow().advice_records(clock::now());
         let value = match encode(&records) {
             Ok(value) => value,
             Err(error) => {
