What the last roster of a term says is final

What callers saw: nothing yet.

Faults, each with a test in takeovers.rs or restarts.rs that failed before: - What was ready as the term was cancelled went on once more in half of the cases, and could order a start after the last roster: the acknowledgement of an earlier roster seemed to withdraw the names, and the start permission was set again. Now the cancellation is looked at first, and after the last roster nothing starts and nothing is taken back (nothing_starts_after_the_last_roster_was_taken). - A leader that stopped before the first answers reported healthy workers as silent, so that the next one could renew no lease on them until it had stored a roster. A listed worker now counts as silent 500 ms after it was found (a_leader_that_stops_at_once_reports_no_worker_as_silent). - A start without an answer was not named any more once the lease of another run on its worker had expired (a_start_without_an_answer_is_named_after_the_leases_have_expired).

The second try to write the last roster leaves out the advice, since the time for it is short.

--- a/components/cell/src/accounts.rs
+++ b/components/cell/src/accounts.rs
@@ -46,7 +46,7 @@
             if is_stored {
                 account.incarnation_unix_ms = worker.incarnation_unix_ms;
             }
-            account.is_closed = is_stored && worker.reported_silent;
+            account.is_closed = is_stored && worker.has_silent_row;
             Some(account.clone())
         });
         accounts.collect()
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -105,6 +105,8 @@
     pub(crate) start_retries: RetryBudget,
     /// Which starts may be ordered. Leases are renewed while it allows any.
     pub(crate) start_permission: StartPermission,
+    /// The last roster of the term was taken: nothing starts any more, and it is not taken back.
+    pub(crate) has_handed_over: bool,
     /// The latest elections with this one, oldest first; empty while those of former leaders are not known.
     pub(crate) term_starts: Vec<TermStart>,
     /// A former leader has announced starts of suspects.
@@ -167,6 +169,7 @@
             urgent_demand: Resources::ZERO,
             start_retries: RetryBudget::default(),
             start_permission: StartPermission::AllJobs,
+            has_handed_over: false,
             term_starts: Vec::new(),
             inherits_announcements: false,
             evacuations: Evacuations::default(),
@@ -243,6 +246,9 @@
 
     /// Sets which starts may be ordered, and with them whether leases are renewed.
     pub fn set_start_permission(&mut self, permission: StartPermission) {
+        if self.has_handed_over {
+            return;
+        }
         self.needs_scheduling |= permission != self.start_permission;
         self.start_permission = permission;
     }
--- a/components/cell/src/polling.rs
+++ b/components/cell/src/polling.rs
@@ -368,6 +368,11 @@
         for (id, keys) in expired {
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             worker.attached = false;
+            // What is left may start late, and is named for the next leader.
+            let is_expired = |key: &&TaskKey| keys.contains(*key);
+            let left = worker.runs.keys().filter(|key| !is_expired(key));
+            let left = left.chain(worker.unstored_ends.values()).cloned().collect();
+            worker.former_tasks = Some(left);
             event!("worker.leases_expired", "worker" => id.as_str(), "runs" => keys.len(),
                 "may_start_late" => worker.runs.len() - keys.len(),
                 "last_answer_ms_ago" => now.since(worker.last_answer_ms).0);
--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -24,10 +24,14 @@
 use crate::cell::Cell;
 use crate::model::TaskKey;
 use crate::permission::StartPermission;
-use crate::worker::{Worker, WorkerReport};
+use crate::worker::{RunState, Worker, WorkerReport};
 
 /// A worker without an answer for this long is reported as silent; shorter gaps are common.
 const SILENT_AFTER_MS: Millis = Millis(1_000);
+/// Time after which a listed worker that has not answered this leader is silent at the end of its term. Most
+/// answer within some tens of milliseconds; what is reported as silent gets no lease from the next leader
+/// until that has stored a roster.
+const FIRST_ANSWER_MS: Millis = Millis(500);
 /// Most tasks that an entry names. A worker of 64 cores runs some tens.
 const MAX_NAMED_TASKS: usize = 200;
 /// Most tasks that the last roster of a term names for workers that answer: 100 KB, which take 80 ms on a
@@ -45,7 +49,8 @@
     /// Address at which the worker takes calls.
     pub address: SocketAddr,
     /// Start of its incarnation in Unix milliseconds; 0 while that may have longer leases than leaders
-    /// grant. The next leader takes any other incarnation for one that may have them.
+    /// grant, or has not answered a start. The next leader takes any other incarnation for one that may have
+    /// them, and that calls without an answer may reach.
     pub incarnation_unix_ms: u64,
     /// Set for a silent worker: upper bound on the remaining time of its leases. Valid from
     /// whenever the roster is read, since the leases are not renewed.
@@ -68,11 +73,12 @@
 impl Cell {
     /// Entries of all workers that may run tasks, to be stored for the next leader.
     pub fn roster(&mut self, now: Millis) -> Vec<RosterRow> {
+        let max_lease_ms = self.settings.max_lease_ms;
         let rows = self.workers.values_mut().filter_map(|worker| {
             let is_silent = worker.is_silent_for(SILENT_AFTER_MS, now);
             let names = is_silent || worker.report.draining;
             let tasks = names.then(|| keep_named_tasks(worker)).flatten();
-            let mut row = roster_row(worker, is_silent, tasks, now)?;
+            let mut row = roster_row(worker, is_silent, tasks, max_lease_ms, now)?;
             row.silent_lease_left_ms = row.silent_lease_left_ms.map(round_lease_left);
             Some(row)
         });
@@ -81,22 +87,36 @@
 
     /// Entries for the end of a term, after which no worker gets orders. They name exactly what may run:
     /// a task that has ended does not wait for its worker under the next leaders. One that did not answer
-    /// the last call, or never answered this leader, is silent.
+    /// the last call, or has not answered this leader, is silent.
     pub fn last_roster(&mut self, now: Millis) -> Vec<RosterRow> {
         self.set_start_permission(StartPermission::Nothing);
+        self.has_handed_over = true;
+        let max_lease_ms = self.settings.max_lease_ms;
         let count = |worker: &Worker| worker.runs.len() + worker.unstored_ends.len();
         let names_all = self.workers.values().map(count).sum::<usize>() <= MAX_HANDED_OVER_TASKS;
         let rows = self.workers.values_mut().filter_map(|worker| {
-            let is_silent = worker.is_silent_for(Millis(0), now) || worker.never_answered();
+            let is_late = now.since(worker.unlisted_since_ms) >= FIRST_ANSWER_MS;
+            let is_silent =
+                worker.is_silent_for(Millis(0), now) || (worker.never_answered() && is_late);
             let names = names_all || is_silent || worker.report.draining;
             let tasks = names.then(|| name_tasks(worker)).flatten();
-            roster_row(worker, is_silent, tasks, now)
+            let mut row = roster_row(worker, is_silent, tasks, max_lease_ms, now)?;
+            let is_starting = worker.runs.values().any(|run| run.state == RunState::Starting);
+            if is_starting && !is_silent && !worker.report.draining {
+                // A start on its way may reach another incarnation, if it is unlisted by then.
+                row.incarnation_unix_ms = 0;
+            }
+            Some(row)
         });
         rows.collect()
     }
 
     /// Records that a roster is stored and can no longer be replaced by an earlier one.
     pub fn roster_stored(&mut self, rows: &[RosterRow]) {
+        if self.has_handed_over {
+            // An earlier roster. What the last one says stays in force.
+            return;
+        }
         for row in rows {
             let Some(worker) = self.workers.get_mut(&row.worker) else { continue };
             if row.silent_lease_left_ms.is_none() {
@@ -166,6 +186,7 @@
     worker: &mut Worker,
     is_silent: bool,
     tasks: Option<Vec<TaskKey>>,
+    max_lease_ms: Millis,
     now: Millis,
 ) -> Option<RosterRow> {
     // An unlisted worker may still run tasks, even if it was draining: it may be cut off from the store
@@ -176,7 +197,10 @@
     let is_empty = tasks.as_ref().is_some_and(Vec::is_empty);
     let reports = is_silent || (worker.report.draining && is_empty);
     worker.reported_silent |= reports;
-    let is_settled = !worker.may_have_long_leases(now);
+    worker.has_silent_row = reports;
+    let mut runs = worker.runs.values();
+    let may_start_late = runs.any(|run| worker.may_start_late(run, max_lease_ms, now));
+    let is_settled = !worker.may_have_long_leases(now) && !may_start_late;
     Some(RosterRow {
         worker: worker.report.id.clone(),
         address: worker.report.address,
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -181,6 +181,8 @@
     pub(crate) reachable: bool,
     /// A stored roster may report it as silent.
     pub(crate) reported_silent: bool,
+    /// The last roster row reports it as silent.
+    pub(crate) has_silent_row: bool,
     /// A stored roster may say that no other tasks run there.
     pub(crate) named_tasks: Option<Vec<TaskKey>>,
     /// Start of the incarnation that answered last, in Unix milliseconds. Before the first answer it is
@@ -253,6 +255,7 @@
             attached: false,
             reachable: true,
             reported_silent: false,
+            has_silent_row: false,
             named_tasks: None,
             clock_ms: Millis(0),
             last_answer_ms: Millis(0),
--- a/components/cell/tests/restarts.rs
+++ b/components/cell/tests/restarts.rs
@@ -344,11 +344,11 @@
 }
 
 /// Guards against the same with a successor: the silent worker that the roster names has restarted, and its
-/// entry shows that at once or later.
+/// entry shows that at once or later, also after the last lease that was granted to it.
 #[test]
 fn a_successor_waits_for_unanswered_starts_on_a_silent_worker_that_has_restarted() {
     let elected_ms = Millis(4_000);
-    for entry_ms in [elected_ms, elected_ms + Millis(1_000)] {
+    for entry_ms in [elected_ms, elected_ms + Millis(1_000), elected_ms + Millis(6_000)] {
         let mut first = Restarted::new();
         let job = unanswered_start(&mut first);
         first.cell.poll_failed(&id("w0"), Millis(2_500));
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -62,6 +62,7 @@
     jobs: Vec<JobRecord>,
     /// Tasks and workers.
     runs: Vec<(TaskKey, u32, WorkerId)>,
+    orders: Vec<StartOrder>,
 }
 
 fn first_term() -> FirstTerm {
@@ -88,7 +89,8 @@
     let orders = starts(&mut cell, Millis(20));
     assert_eq!(orders.len(), 2);
     let runs = orders.iter().map(|one| (one.task.clone(), one.attempt, one.worker.clone()));
-    FirstTerm { cell, lease_ms, jobs, runs: runs.collect() }
+    let runs = runs.collect();
+    FirstTerm { cell, lease_ms, jobs, runs, orders }
 }
 
 impl FirstTerm {
@@ -433,3 +435,61 @@
     let freed = PollAnswer { ended: vec![end], ..answer(Vec::new()) };
     next.poll_answered(worker, ELECTED_MS + Millis(10), &freed, ELECTED_MS + Millis(15));
 }
+
+/// Guards against two runs of a task: what became ready as the term ended ordered a start after the last roster was
+/// taken, since the acknowledgement of an earlier roster seemed to withdraw what the last one says.
+#[test]
+fn nothing_starts_after_the_last_roster_was_taken() {
+    let mut first = first_term();
+    let (task, attempt, worker) = first.runs[0].clone();
+    let ended = PollAnswer {
+        ended: vec![ended(1, &task, attempt, cell::Ending::Done)],
+        ..answer(Vec::new())
+    };
+    first.cell.poll_answered(&worker, Millis(100), &ended, Millis(105));
+    first.cell.add_job(one_task_job("00000000000000a3", "large", 2), Millis(110));
+    let earlier = first.cell.roster(Millis(110));
+    first.cell.last_roster(Millis(120));
+    first.cell.roster_stored(&earlier);
+    first.cell.set_start_permission(StartPermission::AllJobs);
+    let orders = starts(&mut first.cell, Millis(130));
+    assert!(orders.is_empty(), "the next leader does not know of {:?}", jobs_of(&orders));
+}
+
+/// Guards against two runs of a task: a start without an answer was not named any more once the lease of another
+/// run on its worker had expired.
+#[test]
+fn a_start_without_an_answer_is_named_after_the_leases_have_expired() {
+    let mut first = first_term();
+    let (task, attempt, worker) = first.runs[0].clone();
+    let order = first.orders[0].clone();
+    first.cell.start_answered(&order, cell::StartAnswer::Unanswered, Millis(30));
+    for id in ["00000000000000b1", "00000000000000b2"] {
+        first.cell.add_job(one_task_job(id, "large", 3), Millis(40));
+    }
+    let others = starts(&mut first.cell, Millis(50));
+    let beside = others.iter().find(|order| order.worker == worker).expect("a run on that worker");
+    first.cell.start_answered(beside, cell::StartAnswer::Started, Millis(60));
+    first.cell.poll_failed(&worker, Millis(1_010));
+    let expired_ms = Millis(9_000);
+    let again = starts(&mut first.cell, expired_ms);
+    let elsewhere: Vec<_> = again.iter().filter(|order| order.worker != worker).collect();
+    assert!(elsewhere.is_empty(), "{task} run {attempt} may start late: {elsewhere:?}");
+    let row = first.cell.last_roster(expired_ms).into_iter().find(|row| row.worker == worker);
+    assert_eq!(row.expect("a row").tasks, Some(vec![task]));
+}
+
+/// Guards against healthy workers without a lease: a leader that stopped before the first answers reported all
+/// workers as silent, and the next one renews no lease on these until it has stored a roster.
+#[test]
+fn a_leader_that_stops_at_once_reports_no_worker_as_silent() {
+    let first = first_term();
+    let mut second = cell(2, first.lease_ms);
+    for name in ["w0", "w1"] {
+        second.worker_listed(report(name), ELECTED_MS);
+    }
+    let roster = second.last_roster(ELECTED_MS + Millis(50));
+    assert!(roster.iter().all(|row| row.silent_lease_left_ms.is_none()), "{roster:?}");
+    let later = second.last_roster(ELECTED_MS + Millis(1_000));
+    assert!(later.iter().all(|row| row.silent_lease_left_ms.is_some()), "{later:?}");
+}
--- a/components/cluster/src/leader.rs
+++ b/components/cluster/src/leader.rs
@@ -187,8 +187,10 @@
         let (token, epoch) = (leader.token.clone(), leader.epoch);
         tokio::task::spawn_local(async move {
             let ended = tokio::select! {
-                ended = AssertUnwindSafe(task).catch_unwind() => ended,
+                // Nothing of the term goes on once it is cancelled, also what is ready.
+                biased;
                 () = token.cancelled() => return,
+                ended = AssertUnwindSafe(task).catch_unwind() => ended,
             };
             let leads = node.leadership.borrow().as_ref().is_some_and(|own| own.epoch == epoch);
             if ended.is_err() && leads {
--- a/components/cluster/src/persist.rs
+++ b/components/cluster/src/persist.rs
@@ -102,7 +102,7 @@
             return true;
         }
         leader.roster_revision.set(None);
-        self.write_roster(leader, states, leader.changed_advice()).await
+        self.write_roster(leader, states, None).await
     }
 
     /// Stores the next batch. Returns `None` if nothing has changed.
