Only named tasks count as lost with a worker that was not seen

What callers saw: after rolling restarts with workers replaced, hundreds of tasks were tried alone, one a worker, and jobs had nothing running with room on most workers.

Cause: a leader that does not see a worker until its leases have expired takes each task for lost with it that may have been started and that nobody has, unless the account is closed. The roster says which tasks these can be, and that was not used.

Change: where the roster names the tasks for the incarnation in the account, only these are presumed lost.

--- a/components/cell/src/accounts.rs
+++ b/components/cell/src/accounts.rs
@@ -15,6 +15,7 @@
 use crate::job::{Job, Phase};
 use crate::losses::is_fresh;
 use crate::model::{LossKind, LostRun, StepKey, TaskKey};
+use crate::worker::Worker;
 
 /// What is stored of the lost runs of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,6 +95,8 @@
         let Some(service) = self.workers.get(id).map(|worker| worker.report.service.clone()) else {
             return;
         };
+        let named = self.workers.get(id).and_then(Worker::only_former_tasks).cloned();
+        let is_named = |key: &TaskKey| named.as_ref().is_none_or(|named| named.contains(key));
         let policy = self.policy.clone();
         let mut presumed: Vec<TaskKey> = Vec::new();
         for (job_id, job) in self.open_jobs.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
@@ -102,7 +105,8 @@
             let may_serve =
                 service.is_empty() || Cell::queue_policy(&policy, &job.record).service == service;
             if is_older && may_serve {
-                presumed.extend(self.unaccounted_tasks(job_id, job, now));
+                presumed
+                    .extend(self.unaccounted_tasks(job_id, job, now).into_iter().filter(is_named));
             }
         }
         let loss = LostRun {
@@ -171,3 +175,13 @@
         }
     }
 }
+
+impl Worker {
+    /// The only tasks that can have been lost with the incarnation in its account: those that the former leader
+    /// named for it; none if any can.
+    fn only_former_tasks(&self) -> Option<&Vec<TaskKey>> {
+        let account = self.account.as_ref()?;
+        let is_same = account.incarnation_unix_ms == self.former_incarnation_unix_ms;
+        self.former_tasks.as_ref().filter(|_| is_same && self.former_incarnation_unix_ms > 0)
+    }
+}
--- a/components/cell/src/roster.rs
+++ b/components/cell/src/roster.rs
@@ -144,6 +144,7 @@
         worker.named_tasks.clone_from(&row.tasks);
         if !worker.attached {
             worker.former_tasks.clone_from(&row.tasks);
+            worker.former_incarnation_unix_ms = row.incarnation_unix_ms;
         }
         let Some(left_ms) = row.silent_lease_left_ms else { return };
         event!("worker.reported_silent", "worker" => row.worker.as_str(), "left_ms" => left_ms.0,
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -215,6 +215,8 @@
     pub(crate) late_starts_until_ms: Millis,
     /// The only tasks that may run there until this leader has seen the worker; none if any may.
     pub(crate) former_tasks: Option<Vec<TaskKey>>,
+    /// Incarnation that the former leader named these tasks for, in Unix milliseconds; 0 if not known.
+    pub(crate) former_incarnation_unix_ms: u64,
     pub(crate) used: Resources,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// Number of the last run end processed.
@@ -265,6 +267,7 @@
             unseen_runs_until_ms: now,
             late_starts_until_ms: now,
             former_tasks: None,
+            former_incarnation_unix_ms: 0,
             used: Resources::ZERO,
             runs: BTreeMap::new(),
             last_processed_end: 0,
--- a/components/cell/tests/takeovers.rs
+++ b/components/cell/tests/takeovers.rs
@@ -493,3 +493,28 @@
     let later = second.last_roster(ELECTED_MS + Millis(1_000));
     assert!(later.iter().all(|row| row.silent_lease_left_ms.is_some()), "{later:?}");
 }
+
+/// Guards against hundreds of tasks that are tried alone after a worker has left with a run: a leader that did not see
+/// it took all tasks that wait for lost with it, though the roster names the only one.
+#[test]
+fn only_named_tasks_are_taken_for_lost_with_an_unseen_worker() {
+    let mut first = first_term();
+    let silent = first.runs[0].2.clone();
+    first.cell.poll_failed(&silent, Millis(500));
+    let roster = first.cell.roster(Millis(3_000));
+    let accounts = first.cell.accounts();
+    let need = Resources { cpu_milli: 5_000, mem_mb: 100, accels: 0 };
+    let step = StepSpec { tasks: 3, need, estimate_ms: Millis(8_000), ..StepSpec::default() };
+    let waiting = job("00000000000000a3", "batch", "large", vec![step]);
+    let mut next = first.next(&roster, vec![waiting]);
+    accounts.iter().for_each(|account| next.restore_account(account));
+    let early = starts(&mut next, Millis(10_000));
+    assert!(early.is_empty(), "there is no room: {early:?}");
+    for name in ["w2", "w3"] {
+        next.worker_listed(report(name), Millis(10_000));
+        let id = name.parse().expect("worker id");
+        next.poll_answered(&id, Millis(10_000), &answer(Vec::new()), Millis(10_005));
+    }
+    let orders = starts(&mut next, Millis(10_010));
+    assert_eq!(jobs_of(&orders), ["00000000000000a3"; 3], "none of its tasks ran on the worker");
+}
