--- a/components/cell/src/aging.rs
+++ b/components/cell/src/aging.rs
@@ -16,6 +16,7 @@
 use types::{Millis, Resources, WorkerId};
 
 use crate::cell::{Cell, spec_of};
+use crate::job::Waited;
 use crate::model::StepKey;
 use crate::place::WaitingStep;
 use crate::ranking::Outlook;
@@ -97,12 +98,12 @@
         self.turns.chosen_ms = now;
         let mut longest: BTreeMap<&CompactString, (f64, Millis, &StepKey)> = BTreeMap::new();
         for candidate in candidates {
-            let (waited_ms, before_ms) = candidate.waited_ms;
+            let waited_ms = candidate.waited.total_ms;
             let waits_by_choice = candidate.rank.outlook == Outlook::Deferrable;
             if waited_ms < MAX_WAIT_MS || waits_by_choice || !self.is_within_limit(candidate) {
                 continue;
             }
-            let weight = self.turn_weight(&candidate.key, waited_ms, before_ms);
+            let weight = self.turn_weight(&candidate.key, candidate.waited);
             let entry = (weight, waited_ms, &candidate.key);
             let best = longest.entry(&candidate.service).or_insert(entry);
             if weight > best.0 {
@@ -145,13 +146,14 @@
     /// Weight of a step in the choice of the next turn: the time that it has waited, of which a part that each
     /// leader draws anew counts if former leaders saw it wait. A step that cannot start in its turn would
     /// otherwise have that of each leader.
-    fn turn_weight(&self, key: &StepKey, waited_ms: Millis, before_ms: Millis) -> f64 {
-        if before_ms == Millis(0) {
-            return waited_ms.0 as f64;
+    fn turn_weight(&self, key: &StepKey, waited: Waited) -> f64 {
+        let waited_ms = waited.total_ms.0 as f64;
+        if waited.before_term_ms == Millis(0) {
+            return waited_ms;
         }
         let mut hasher = DefaultHasher::new();
         (self.epoch, key).hash(&mut hasher);
-        waited_ms.0 as f64 * (hasher.finish() as f64 / u64::MAX as f64)
+        waited_ms * (hasher.finish() as f64 / u64::MAX as f64)
     }
 
     /// Whether the limit of its team allows a task of a step.
--- a/components/cell/src/job.rs
+++ b/components/cell/src/job.rs
@@ -47,6 +47,14 @@
     pub(crate) waits_since_ms: Option<Millis>,
 }
 
+/// How long a step has had neither a start nor a turn.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Waited {
+    pub(crate) total_ms: Millis,
+    /// Part of that before this leader's term.
+    pub(crate) before_term_ms: Millis,
+}
+
 /// One step of one occurrence.
 #[derive(Debug, Default)]
 pub(crate) struct Step {
@@ -97,15 +105,15 @@
         }
     }
 
-    /// Time for which its waiting tasks have had neither a start nor a turn, and the part of it before this
-    /// leader's term.
-    pub(crate) fn waited_ms(&self, now: Millis) -> (Millis, Millis) {
+    /// How long its waiting tasks have had neither a start nor a turn.
+    pub(crate) fn waited(&self, now: Millis) -> Waited {
         let served_ms = self.last_start_ms.max(self.turn_ended_ms);
         let ready_ms = self.ready_ms.unwrap_or_default();
         if served_ms > ready_ms {
-            return (now.since(served_ms), Millis(0));
+            return Waited { total_ms: now.since(served_ms), before_term_ms: Millis(0) };
         }
-        (now.since(ready_ms) + self.waited_before_ms, self.waited_before_ms)
+        let before_term_ms = self.waited_before_ms;
+        Waited { total_ms: now.since(ready_ms) + before_term_ms, before_term_ms }
     }
 
     /// Moves a task to another phase and updates the counts.
--- a/components/cell/src/schedule.rs
+++ b/components/cell/src/schedule.rs
@@ -5,7 +5,7 @@
 use types::{Millis, Resources, WorkerId};
 
 use crate::cell::Cell;
-use crate::job::{Job, Phase, Step};
+use crate::job::{Job, Phase, Step, Waited};
 use crate::model::{FinalState, StepKey, StepSpec, TaskKey};
 use crate::place::{Placed, WaitingStep};
 use crate::ranking::{Rank, rank};
@@ -22,8 +22,8 @@
     pub(crate) key: StepKey,
     /// Service whose workers run it.
     pub(crate) service: CompactString,
-    /// Time for which it has had neither a start nor a turn, and the part of it before this leader's term.
-    pub(crate) waited_ms: (Millis, Millis),
+    /// How long it has had neither a start nor a turn.
+    pub(crate) waited: Waited,
     /// One of its tasks crashes the workers that start it.
     pub(crate) crashes_workers: bool,
 }
@@ -110,7 +110,7 @@
                         rank,
                         key: StepKey { job: id.clone(), occurrence: number, step: ready.index },
                         service: queue.service.clone(),
-                        waited_ms: ready.waited_ms,
+                        waited: ready.waited,
                         crashes_workers: ready.crashes_workers,
                     });
                 }
@@ -330,7 +330,7 @@
     /// Work left on the critical path from this step.
     left_ms: Millis,
     long_running: bool,
-    waited_ms: (Millis, Millis),
+    waited: Waited,
     crashes_workers: bool,
 }
 
@@ -370,7 +370,7 @@
             index: number,
             left_ms: job.left_from_ms.get(index).copied().unwrap_or_default(),
             long_running: spec.long_running,
-            waited_ms: step.waited_ms(now),
+            waited: step.waited(now),
             crashes_workers: step.has_crashing_task(),
         });
     }
